--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test lint demo up bench faults binary
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/black --check --quiet src standins bench tests
+	$(BIN)/ruff check --quiet src standins bench tests
+
+demo: setup
+	$(BIN)/python -m bench.demo $(ARGS)
+
+up: setup
+	$(BIN)/python -m bench.demo --stay $(ARGS)
+
+bench: setup
+	$(BIN)/python -m bench.table
+
+faults: setup
+	$(BIN)/python -m bench.faults --seed $(or $(SEED),1) --rounds $(or $(ROUNDS),3)
+
+binary: setup
+	$(BIN)/python -m bench.binary
--- /dev/null
+++ b/src/lacewingmill/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: implementations of the ports by libraries and protocols."""
--- /dev/null
+++ b/src/lacewingmill/adapters/clock.py
@@ -0,0 +1,23 @@
+"""The runtime's clock."""
+
+import time
+
+import gevent
+
+__all__ = ["GeventClock"]
+
+
+class GeventClock:
+    """Time of the gevent loop."""
+
+    def now(self) -> float:
+        """Return monotonic time, in seconds."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Return wall-clock time, in seconds since the epoch."""
+        return time.time()
+
+    def sleep(self, seconds: float) -> None:
+        """Suspend the calling greenlet."""
+        gevent.sleep(seconds)
--- /dev/null
+++ b/src/lacewingmill/adapters/metrics.py
@@ -0,0 +1,54 @@
+"""Metrics by OpenTelemetry, read at ``/metrics``; nothing runs between readings."""
+
+from collections.abc import Callable
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import REGISTRY, generate_latest
+
+__all__ = ["Metrics"]
+
+SECONDS_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60, 300, 1800)
+
+
+class Metrics:
+    """The instruments of an entry VM.
+
+    :param vm: name of this VM.
+    """
+
+    def __init__(self, vm: str):
+        provider = MeterProvider(
+            metric_readers=[PrometheusMetricReader()],
+            resource=Resource.create({"service.name": "lacewingmill", "service.instance.id": vm}),
+            shutdown_on_exit=False,
+        )
+        self._meter = provider.get_meter("lacewingmill")
+        self._requests = self._meter.create_counter(
+            "lacewingmill_requests", description="Requests of callers by route and outcome"
+        )
+        self._seconds = self._meter.create_histogram(
+            "lacewingmill_request_seconds",
+            unit="s",
+            description="Time from a caller's request to its answer",
+            explicit_bucket_boundaries_advisory=SECONDS_BUCKETS,
+        )
+
+    def request_ended(self, route: str, outcome: str, seconds: float) -> None:
+        """Count a request and its time."""
+        self._requests.add(1, {"route": route, "outcome": outcome})
+        self._seconds.record(seconds, {"route": route})
+
+    def watch(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when the metrics are."""
+
+        def observe(_: CallbackOptions):
+            return [Observation(read())]
+
+        self._meter.create_observable_gauge(name, callbacks=[observe], description=description)
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(REGISTRY)
--- /dev/null
+++ b/src/lacewingmill/adapters/store.py
@@ -0,0 +1,135 @@
+"""The platform's key-value service over HTTP."""
+
+from urllib.parse import quote, urlencode
+
+import attrs
+import msgspec
+
+from lacewingmill.adapters.http_client import HttpCaller, HttpReply
+from lacewingmill.codec import decode
+from lacewingmill.exceptions import StoreConflict, StoreUnavailable, TransportError
+from lacewingmill.ports import StoreEntry, WatchAnswer
+
+__all__ = ["HttpStore", "StoreUsage"]
+
+CALL_TIMEOUT_S = 1.5
+WATCH_MARGIN_S = 2.0
+
+
+@attrs.define
+class StoreUsage:
+    """Calls made by this process, by kind; a waiting watch counts as one."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+
+
+class HttpStore:
+    """Client of the key-value service.
+
+    :param address: ``host:port`` of the service.
+    """
+
+    def __init__(self, address: str, caller: HttpCaller):
+        self._address = address
+        self._caller = caller
+        self.usage = StoreUsage()
+
+    def get(self, key: str) -> StoreEntry | None:
+        """Return the entry, or ``None`` when the key is absent.
+
+        :raises StoreUnavailable: when the service does not answer.
+        """
+        self.usage.reads += 1
+        reply = self._call("GET", f"/kv/{quote(key)}")
+        if reply.status == 404:
+            return None
+        return StoreEntry(key, reply.body, int(reply.headers["revision"]))
+
+    def put(self, key: str, value: bytes, *, expected: int, lease: str = "") -> int:
+        """Write if the key's revision is ``expected`` (0: absent) and return the new revision.
+
+        :raises StoreConflict: when another revision is found; nothing was written.
+        :raises StoreUnavailable: when no answer came; the write may have taken effect.
+        """
+        self.usage.writes += 1
+        query = urlencode({"expected": expected, "lease": lease})
+        reply = self._call("PUT", f"/kv/{quote(key)}?{query}", value)
+        return self._revision(reply, key)
+
+    def delete(self, key: str, *, expected: int) -> None:
+        """Delete if the key's revision is ``expected``.
+
+        :raises StoreConflict: when another revision is found.
+        :raises StoreUnavailable: when no answer came.
+        """
+        self.usage.writes += 1
+        query = urlencode({"expected": expected})
+        self._revision(self._call("DELETE", f"/kv/{quote(key)}?{query}"), key)
+
+    def list(self, prefix: str) -> list[StoreEntry]:
+        """Return all entries under a prefix.
+
+        :raises StoreUnavailable: when the service does not answer.
+        """
+        self.usage.reads += 1
+        reply = self._call("GET", f"/list?{urlencode({'prefix': prefix})}")
+        return decode(reply.body, list[StoreEntry])
+
+    def grant_lease(self, ttl_s: float) -> str:
+        """Return the id of a new lease.
+
+        :raises StoreUnavailable: when the service does not answer.
+        """
+        self.usage.writes += 1
+        return self._call("POST", f"/lease?{urlencode({'ttl_s': ttl_s})}").body.decode()
+
+    def renew_lease(self, lease: str) -> bool:
+        """Renew; ``False`` when the lease has lapsed.
+
+        :raises StoreUnavailable: when the service does not answer.
+        """
+        self.usage.writes += 1
+        return self._call("POST", f"/lease/{lease}").status == 200
+
+    def watch(self, prefix: str, *, after: int, wait_s: float) -> WatchAnswer:
+        """Wait for changes under a prefix after a store revision.
+
+        :raises StoreUnavailable: when the service does not answer.
+        """
+        self.usage.watches += 1
+        query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
+        reply = self._call("GET", f"/watch?{query}", timeout_s=wait_s + WATCH_MARGIN_S)
+        return decode(reply.body, WatchAnswer)
+
+    def _call(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = CALL_TIMEOUT_S
+    ) -> HttpReply:
+        try:
+            reply = self._caller.call(self._address, method, path, body=body, timeout_s=timeout_s)
+        except TransportError as exc:
+            raise StoreUnavailable(
+                f"key-value service did not answer: {exc.message}", step=method, peer=self._address
+            ) from exc
+        if reply.status >= 500:
+            raise StoreUnavailable(
+                f"key-value service answered {reply.status}", step=method, peer=self._address
+            )
+        return reply
+
+    def _revision(self, reply: HttpReply, key: str) -> int:
+        if reply.status == 409:
+            raise StoreConflict(
+                f"{key} is at another revision",
+                current=int(reply.headers["revision"]),
+                peer=self._address,
+            )
+        try:
+            return msgspec.convert(reply.headers["revision"], int, strict=False)
+        except (KeyError, msgspec.ValidationError) as exc:
+            raise StoreUnavailable(
+                f"key-value service refused the write with {reply.status}",
+                step=key,
+                peer=self._address,
+            ) from exc
--- /dev/null
+++ b/src/lacewingmill/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Service files: checking, publishing and keeping the accepted configuration in force."""
--- /dev/null
+++ b/src/lacewingmill/catalogue/packing.py
@@ -0,0 +1,77 @@
+"""Whether all guarantees pack into the workers together, and still do with one worker lost."""
+
+import attrs
+
+from lacewingmill.models import Role, Service, Shape, Vm
+from lacewingmill.scheduling.messages import (
+    GuaranteedSlots,
+    GuaranteesChanged,
+    SlotKey,
+    TeamLimit,
+    WorkerJoined,
+    WorkerNode,
+)
+from lacewingmill.scheduling.scheduler import Scheduler
+
+__all__ = ["PackingReport", "check_packing", "guarantees_of", "worker_node"]
+
+
+@attrs.frozen
+class PackingReport:
+    """What packing the guarantees showed.
+
+    :param missing: guarantees that do not fit together into the live workers.
+    :param fragile: guarantees that do not fit once the worst single worker is lost.
+    """
+
+    missing: tuple[str, ...]
+    fragile: tuple[str, ...]
+
+
+def worker_node(vm: Vm) -> WorkerNode:
+    """Return a worker of the VM list as the scheduler sees it."""
+    return WorkerNode(
+        vm.name, vm.rack, vm.failure_domain, vm.accelerators, vm.processors, vm.memory_gb
+    )
+
+
+def guarantees_of(services: tuple[Service, ...]) -> GuaranteesChanged:
+    """Return the scheduler's event for a configuration."""
+    slots = []
+    limits = []
+    mix: dict[Shape, None] = {}
+    for service in services:
+        for shape in service.shapes:
+            mix[shape] = None
+        for team in service.teams:
+            limits.append(TeamLimit(service.name, team.name, team.max_accelerators))
+            for guarantee in team.guarantees:
+                key = SlotKey(service.name, team.name, guarantee.shape)
+                shape = service.shape(guarantee.shape)
+                slots.append(GuaranteedSlots(key, shape, guarantee.count))
+    return GuaranteesChanged(tuple(slots), tuple(limits), tuple(mix))
+
+
+def check_packing(services: tuple[Service, ...], vms: tuple[Vm, ...]) -> PackingReport:
+    """Pack all guarantees into the workers of the VM list."""
+    workers = [vm for vm in vms if vm.role is Role.WORKER]
+    guarantees = guarantees_of(services)
+    missing = _unpacked(guarantees, workers)
+    fragile: tuple[str, ...] = ()
+    if not missing and guarantees.slots:
+        for lost in workers:
+            left = [vm for vm in workers if vm is not lost]
+            fragile = fragile or _unpacked(guarantees, left)
+    return PackingReport(missing, fragile)
+
+
+def _unpacked(guarantees: GuaranteesChanged, workers: list[Vm]) -> tuple[str, ...]:
+    scheduler = Scheduler()
+    for vm in workers:
+        scheduler.handle(WorkerJoined(worker_node(vm)), 0.0)
+    scheduler.handle(guarantees, 0.0)
+    return tuple(
+        f"service {slot.key.service}: teams.{slot.key.team}.guarantees.{slot.key.shape}: "
+        f"{slot.shape.accelerators} accelerators do not fit beside the other guarantees"
+        for slot in scheduler.book.shortfalls()
+    )
--- /dev/null
+++ b/src/lacewingmill/cells/driver.py
@@ -0,0 +1,507 @@
+"""The owner's side of a cell: turns the scheduler's actions into orders to workers."""
+
+from functools import singledispatchmethod
+
+import attrs
+import gevent
+from gevent.event import Event as Signal
+
+from lacewingmill.cells.gangs import LEASE_TTL_S, Gang, GangRunner, StartFailure
+from lacewingmill.cells.journal import ClaimJournal, claim_key
+from lacewingmill.cells.messages import ClaimRecord, JobPhase, JobReport, JobSpec, SubmitJob
+from lacewingmill.cells.worker_watch import WorkerWatch
+from lacewingmill.codec import encode
+from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.exceptions import FenceRejected, StoreConflict, StoreUnavailable
+from lacewingmill.models import Fence, Vm
+from lacewingmill.ports import (
+    ApplicationAnswer,
+    Clock,
+    LeaseOrder,
+    StartOrder,
+    WorkerLease,
+    WorkerPort,
+)
+from lacewingmill.scheduling.messages import (
+    Action,
+    Event,
+    EvictGang,
+    FailJob,
+    GangRejected,
+    GangReleased,
+    GangStarted,
+    JobCancelled,
+    JobFailed,
+    JobFinished,
+    JobSubmitted,
+    RefuseJob,
+    StartGang,
+    StopGang,
+    Tick,
+    WorkerJoined,
+    WorkerLost,
+    WorkerNode,
+)
+from lacewingmill.scheduling.scheduler import Scheduler
+
+__all__ = ["CellDriver", "CellParts"]
+
+TICK_S = 1.0
+REPORT_KEPT_S = 600.0
+GANG_CONTENT_TYPE = "application/json"
+EVIDENCE_VALID_S = 500.0
+UNKNOWN_START = "the gang was stopped after a member had run"
+
+
+@attrs.define(eq=False)
+class _Work:
+    """A submitted job and its present gang."""
+
+    submit: SubmitJob
+    deadline: float
+    report: JobReport
+    attempts: int = 0
+    gang: Gang | None = None
+    body_known: bool = True
+    done_s: float = 0.0
+    run_before_s: float = 0.0
+    claim_revision: int = 0
+    closed_at: float = 0.0
+    changed: Signal = attrs.field(factory=Signal)
+
+
+@attrs.frozen
+class CellParts:
+    """What a driver is built from.
+
+    :param scheduler: the decision core, not shared with any other driver.
+    :param vm: name of this VM.
+    """
+
+    scheduler: Scheduler
+    workers: WorkerPort
+    journal: ClaimJournal
+    clock: Clock
+    log: EventLog
+    vm: str
+
+
+class CellDriver:
+    """Directs the workers of a cell under one fence.
+
+    :param fence: of this ownership; workers refuse orders under a lower one.
+    """
+
+    def __init__(self, parts: CellParts, fence: Fence):
+        self.fence = fence
+        self.deposed = False
+        self._parts = parts
+        self._clock = parts.clock
+        self._log = parts.log
+        self._scheduler = parts.scheduler
+        self._works: dict[str, _Work] = {}
+        self._by_gang: dict[str, _Work] = {}
+        self._executed_before: dict[str, frozenset[str]] = {}
+        self.watch = WorkerWatch(parts.workers, parts.clock, fence, self)
+        self._runner = GangRunner(parts.workers, parts.clock, fence, self.watch.find)
+        self._ticker = gevent.spawn(self._tick_forever)
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """The decision core, to be read only."""
+        return self._scheduler
+
+    def submit(self, submit: SubmitJob) -> None:
+        """Take a job in; repeating a submission is harmless."""
+        job_id = submit.job.job_id
+        known = self._works.get(job_id)
+        if known is not None:
+            self._learn_body(known, submit)
+            return
+        report = JobReport(job_id, JobPhase.WAITING)
+        now = self._clock.now()
+        self._works[job_id] = _Work(submit, now + submit.deadline_s, report)
+        job = attrs.evolve(submit.job, submitted_at=now)
+        self._feed(JobSubmitted(job))
+
+    def adopt(self, submit: SubmitJob, gang: Gang) -> None:
+        """Take over a gang found running; its event to the scheduler is fed by the recovery."""
+        report = JobReport(submit.job.job_id, JobPhase.RUNNING)
+        deadline = self._clock.now() + submit.deadline_s
+        work = _Work(submit, deadline, report, gang=gang, body_known=False)
+        self._works[submit.job.job_id] = work
+        self._by_gang[gang.gang_id] = work
+
+    def keep_outcome(self, submit: SubmitJob, report: JobReport) -> None:
+        """Remember the outcome of a job that ended before this VM owned the cell."""
+        now = self._clock.now()
+        work = _Work(submit, now, report, closed_at=now)
+        self._works[submit.job.job_id] = work
+
+    def note_table(self, worker: str, leases: tuple[WorkerLease, ...]) -> None:
+        """Remember what a worker had executed when it accepted this fence.
+
+        From then on the worker refuses the owners before, so that a gang missing here never runs.
+        """
+        executed = frozenset(lease.gang for lease in leases if lease.executed)
+        self._executed_before.setdefault(worker, executed)
+
+    def feed(self, event: Event) -> None:
+        """Pass an event to the scheduler and carry its actions out."""
+        self._feed(event)
+
+    def report(self, job_id: str, wait_s: float) -> JobReport | None:
+        """Return a job's report, waiting for its end at most ``wait_s``; ``None`` if unheard of."""
+        work = self._works.get(job_id)
+        if work is None:
+            return None
+        if not work.report.phase.final and wait_s > 0:
+            work.changed.wait(wait_s)
+        record = self._scheduler.records.get(job_id)
+        notes = tuple(record.notes) if record else work.report.notes
+        return attrs.evolve(work.report, notes=notes)
+
+    def cancel(self, job_id: str) -> None:
+        """Give a job up for its caller."""
+        work = self._works.get(job_id)
+        if work is None or work.report.phase.final:
+            return
+        self._cancel(work, "cancelled by the caller")
+
+    def stop(self) -> None:
+        """Stop directing workers; gangs run on under their leases."""
+        self.deposed = True
+        self._ticker.kill()
+        self.watch.stop()
+
+    def renewable_gangs(self, worker: str) -> tuple[str, ...]:
+        """Return the gangs with a member on a worker whose lease may be renewed."""
+        now = self._clock.now()
+        return tuple(
+            gang_id
+            for gang_id, work in self._by_gang.items()
+            if work.gang is not None and worker in work.gang.workers and work.gang.renewable(now)
+        )
+
+    def worker_acked(self, worker: str, renewed: tuple[str, ...], at: float) -> None:
+        """Take in which leases a worker renewed."""
+        for gang_id in renewed:
+            work = self._by_gang.get(gang_id)
+            if work is not None and work.gang is not None:
+                work.gang.acked[worker] = at
+
+    def worker_reported(self, worker: str, leases: tuple[WorkerLease, ...]) -> list[str]:
+        """Take in a worker's lease table and return the gangs that nobody owns."""
+        self.note_table(worker, leases)
+        orphans = []
+        for lease in leases:
+            work = self._by_gang.get(lease.gang)
+            active = lease.state in ("leased", "running")
+            if work is None or work.gang is None:
+                if active:
+                    orphans.append(lease.gang)
+                continue
+            gang = work.gang
+            if gang.closing or not gang.started or active:
+                continue
+            if lease.state == "done" and worker == gang.workers[0]:
+                gevent.spawn(self._guarded, self._finish, work, gang, lease.result)
+            elif lease.state in ("failed", "stopped"):
+                gevent.spawn(self._guarded, self._fail_member, work, gang, worker)
+        return orphans
+
+    def worker_joined(self, vm: Vm) -> None:
+        """A worker's lease table is known and holds no orphans."""
+        self._log.emit(LogEvent.WORKER_JOINED, worker=vm.name)
+        node = WorkerNode(
+            vm.name, vm.rack, vm.failure_domain, vm.accelerators, vm.processors, vm.memory_gb
+        )
+        self._feed(WorkerJoined(node))
+
+    def worker_lost(self, worker: str) -> None:
+        """A worker keeps silent or has left."""
+        self._log.emit(LogEvent.WORKER_LOST, worker=worker)
+        self._feed(WorkerLost(worker))
+
+    def fenced(self) -> None:
+        """A worker has accepted a higher fence."""
+        if self.deposed:
+            return
+        self._log.emit(LogEvent.CELL_LOST, fence=attrs.astuple(self.fence))
+        self.stop()
+
+    def _feed(self, event: Event) -> None:
+        if self.deposed:
+            return
+        for action in self._scheduler.handle(event, self._clock.now()):
+            self._act(action)
+
+    @singledispatchmethod
+    def _act(self, action: Action) -> None:
+        raise TypeError(f"unknown action {type(action).__name__}")
+
+    @_act.register
+    def _(self, action: StartGang) -> None:
+        gevent.spawn(self._guarded, self._start, self._works[action.job_id], action)
+
+    @_act.register
+    def _(self, action: EvictGang) -> None:
+        gevent.spawn(self._guarded, self._evict, self._works[action.job_id], action)
+
+    @_act.register
+    def _(self, action: StopGang) -> None:
+        work = self._works[action.job_id]
+        gang, work.gang = work.gang, None
+        if gang is not None:
+            gevent.spawn(self._guarded, self._stop_gang, gang, action.reason)
+
+    @_act.register
+    def _(self, action: RefuseJob) -> None:
+        work = self._works[action.job_id]
+        self._log.emit(LogEvent.JOB_REFUSED, job=action.job_id, reason=action.reason)
+        self._close(work, JobReport(action.job_id, JobPhase.NOT_RUN, reason=action.reason))
+
+    @_act.register
+    def _(self, action: FailJob) -> None:
+        self._close_unknown(self._works[action.job_id], action.reason, "run", "")
+
+    def _guarded(self, run, *args) -> None:
+        """Run a step of a gang; a higher fence ends this ownership."""
+        try:
+            run(*args)
+        except FenceRejected:
+            self.fenced()
+
+    def _start(self, work: _Work, action: StartGang) -> None:
+        if not work.body_known:
+            self._cancel(work, "the request's body was lost with the VM that took it in")
+            return
+        work.attempts += 1
+        job = work.submit.job
+        gang_id = f"{job.job_id}.{self.fence.epoch}.{self.fence.attempt}.{work.attempts}"
+        gang = Gang(gang_id, job.job_id, action.placement)
+        if not job.idempotent and not self._claim(work, gang):
+            return
+        if work.report.phase.final or self.deposed:
+            return
+        work.gang = gang
+        self._by_gang[gang_id] = work
+        spec = encode(JobSpec(job, work.submit.key, action.guaranteed, self._clock.wall()))
+        failure = self._runner.start(
+            gang,
+            lambda rank: self._lease_order(work, gang, rank, spec),
+            lambda rank: self._start_order(work, gang, rank),
+        )
+        if failure is None:
+            self._log.emit(LogEvent.GANG_STARTED, gang=gang_id, workers=gang.workers)
+            work.report = JobReport(job.job_id, JobPhase.RUNNING)
+            self._feed(GangStarted(job.job_id))
+            return
+        self._forget_gang(work, gang)
+        self._reject(work, gang, failure)
+
+    def _reject(self, work: _Work, gang: Gang, failure: StartFailure) -> None:
+        job = work.submit.job
+        self._log.emit(LogEvent.GANG_REJECTED, gang=gang.gang_id, reason=failure.reason)
+        if failure.executed and not job.idempotent:
+            self._close_unknown(work, UNKNOWN_START, "start", failure.worker)
+            self._feed(JobCancelled(job.job_id))
+            return
+        if failure.worker:
+            self._feed(GangRejected(job.job_id, failure.worker, failure.silent))
+
+    def _claim(self, work: _Work, gang: Gang) -> bool:
+        """Claim non-idempotent work in the store; return whether the gang may be sent."""
+        submit = work.submit
+        record = self._claim_record(gang)
+        journal = self._parts.journal
+        key = _claim_key(submit)
+        try:
+            try:
+                work.claim_revision = journal.claim(
+                    key, record, expected=work.claim_revision, deadline=work.deadline
+                )
+            except StoreConflict:
+                found = journal.find(key)
+                if found is None or not self._may_replace(found.record):
+                    self._close_claimed(work, found.record.answer if found else None)
+                    return False
+                work.claim_revision = journal.claim(
+                    key, record, expected=found.revision, deadline=work.deadline
+                )
+        except StoreUnavailable:
+            self._cancel(work, "the store stayed away, so the job could not be claimed")
+            return False
+        except StoreConflict:
+            self._close_claimed(work, None)
+            return False
+        return True
+
+    def _may_replace(self, claim: ClaimRecord) -> bool:
+        """Whether a claim of an earlier owner is proved never to have run.
+
+        Every member has accepted this fence and reported that it did not execute the gang.
+        """
+        recent = self._clock.wall() - claim.at < EVIDENCE_VALID_S
+        return (
+            claim.answer is None
+            and bool(claim.members)
+            and claim.fence < self.fence
+            and recent
+            and all(
+                worker in self._executed_before and claim.gang not in self._executed_before[worker]
+                for worker in claim.members
+            )
+        )
+
+    def _close_claimed(self, work: _Work, answer: ApplicationAnswer | None) -> None:
+        """Answer a request whose key was claimed before: its answer if kept, else unknown."""
+        job_id = work.submit.job.job_id
+        if answer is not None:
+            self._close(work, JobReport(job_id, JobPhase.DONE, answer))
+        else:
+            reason = "a request with this idempotency key was claimed before; its answer is unknown"
+            self._close_unknown(work, reason, "claim", "")
+        self._feed(JobCancelled(job_id))
+
+    def _claim_record(self, gang: Gang, answer: ApplicationAnswer | None = None) -> ClaimRecord:
+        return ClaimRecord(
+            self._parts.journal.new_write_id(),
+            self._parts.vm,
+            self.fence,
+            self._clock.wall(),
+            gang.gang_id,
+            gang.workers,
+            answer,
+        )
+
+    def _lease_order(self, work: _Work, gang: Gang, rank: int, spec: bytes) -> LeaseOrder:
+        shape = work.submit.job.shape
+        indices = gang.placement[rank].accelerators
+        return LeaseOrder(
+            gang.gang_id,
+            self.fence,
+            indices,
+            shape.processors * len(indices),
+            shape.memory_gb * len(indices),
+            LEASE_TTL_S,
+            spec,
+            gang.workers,
+        )
+
+    def _start_order(self, work: _Work, gang: Gang, rank: int) -> StartOrder:
+        submit = work.submit
+        return StartOrder(
+            gang.gang_id,
+            self.fence,
+            rank,
+            submit.body,
+            submit.content_type,
+            submit.key,
+            work.done_s,
+        )
+
+    def _evict(self, work: _Work, action: EvictGang) -> None:
+        gang = work.gang
+        if gang is None or gang.closing:
+            # The start was under way and failed by itself; nothing is held any more.
+            self._feed(GangReleased(action.job_id, 0.0))
+            return
+        ran_s = self._clock.now() - gang.started_at if gang.started else 0.0
+        released = self._runner.release(gang, checkpoint=action.checkpoint)
+        self._forget_gang(work, gang)
+        if released.result is not None:
+            self._complete(work, gang, released.result)
+            return
+        saved_s = ran_s if action.checkpoint else 0.0
+        work.done_s += saved_s
+        work.report = JobReport(action.job_id, JobPhase.WAITING)
+        self._log.emit(LogEvent.GANG_EVICTED, gang=gang.gang_id, for_job=action.for_job)
+        self._feed(GangReleased(action.job_id, saved_s))
+
+    def _stop_gang(self, gang: Gang, reason: str) -> None:
+        self._runner.release(gang, checkpoint=False)
+        self._by_gang.pop(gang.gang_id, None)
+        self._log.emit(LogEvent.GANG_STOPPED, gang=gang.gang_id, reason=reason)
+
+    def _finish(self, work: _Work, gang: Gang, result: bytes) -> None:
+        if gang.closing or work.gang is not gang:
+            return
+        gang.closing = True
+        self._complete(work, gang, result)
+
+    def _complete(self, work: _Work, gang: Gang, result: bytes) -> None:
+        """Answer the caller first, then free the accelerators."""
+        job = work.submit.job
+        answer = ApplicationAnswer(200, GANG_CONTENT_TYPE, result, gang.workers[0])
+        run_s = self._clock.now() - gang.started_at + work.done_s
+        self._log.emit(LogEvent.JOB_DONE, job=job.job_id, run_s=round(run_s, 3))
+        self._close(work, JobReport(job.job_id, JobPhase.DONE, answer))
+        self._runner.release(gang, checkpoint=False)
+        self._forget_gang(work, gang)
+        self._feed(JobFinished(job.job_id, run_s))
+        if not job.idempotent:
+            record = self._claim_record(gang, answer)
+            self._parts.journal.settle(_claim_key(work.submit), record, work.claim_revision)
+
+    def _learn_body(self, work: _Work, submit: SubmitJob) -> None:
+        """Take the body of a recovered job from the entry VM that holds it."""
+        if work.body_known:
+            return
+        work.submit = submit
+        work.deadline = self._clock.now() + submit.deadline_s
+        work.body_known = True
+
+    def _fail_member(self, work: _Work, gang: Gang, worker: str) -> None:
+        if gang.closing or work.gang is not gang:
+            return
+        self._runner.release(gang, checkpoint=False)
+        self._forget_gang(work, gang)
+        work.report = JobReport(work.submit.job.job_id, JobPhase.WAITING)
+        self._feed(JobFailed(work.submit.job.job_id, worker))
+
+    def _cancel(self, work: _Work, reason: str) -> None:
+        """End a job early; it was not run only if no gang of it may have been started."""
+        job_id = work.submit.job.job_id
+        if work.gang is None and work.done_s == 0.0 and not work.run_before_s:
+            self._close(work, JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="wait"))
+        else:
+            self._close_unknown(work, reason, "run", "")
+        self._feed(JobCancelled(job_id))
+
+    def _close_unknown(self, work: _Work, reason: str, step: str, peer: str) -> None:
+        job_id = work.submit.job.job_id
+        self._log.emit(LogEvent.JOB_UNKNOWN, job=job_id, reason=reason)
+        report = JobReport(job_id, JobPhase.UNKNOWN, reason=reason, step=step, peer=peer)
+        self._close(work, report)
+
+    def _close(self, work: _Work, report: JobReport) -> None:
+        if work.report.phase.final:
+            return
+        record = self._scheduler.records.get(report.job_id)
+        notes = tuple(record.notes) if record else ()
+        work.report = attrs.evolve(report, notes=notes)
+        work.closed_at = self._clock.now()
+        work.changed.set()
+
+    def _forget_gang(self, work: _Work, gang: Gang) -> None:
+        self._by_gang.pop(gang.gang_id, None)
+        if work.gang is gang:
+            work.gang = None
+        if gang.started:
+            work.run_before_s = max(work.run_before_s, self._clock.now() - gang.started_at)
+
+    def _tick_forever(self) -> None:
+        while not self.deposed:
+            self._clock.sleep(TICK_S)
+            now = self._clock.now()
+            for job_id, work in list(self._works.items()):
+                if work.closed_at and now - work.closed_at > REPORT_KEPT_S:
+                    del self._works[job_id]
+                elif work.report.phase is JobPhase.WAITING and now >= work.deadline:
+                    self._cancel(work, "the deadline passed while the job waited")
+            self._feed(Tick())
+
+
+def _claim_key(submit: SubmitJob) -> str:
+    return claim_key(submit.job.service, submit.job.team, submit.key)
--- /dev/null
+++ b/src/lacewingmill/cells/gangs.py
@@ -0,0 +1,190 @@
+"""Driving one gang on its workers: lease every member, then start all; release all.
+
+No member starts before every member holds its lease, and any failure releases all, so that a gang
+holds all of its accelerators or none.
+"""
+
+from collections.abc import Callable
+
+import attrs
+import gevent
+
+from lacewingmill.exceptions import FenceRejected, JobRefused, LacewingmillError, TransportError
+from lacewingmill.models import Fence, Vm
+from lacewingmill.ports import (
+    Clock,
+    LeaseOrder,
+    LeaseState,
+    ReleaseAnswer,
+    StartOrder,
+    WorkerPort,
+)
+from lacewingmill.scheduling.messages import Placement
+
+__all__ = ["Gang", "GangRunner", "ReleaseResult", "StartFailure"]
+
+LEASE_TTL_S = 10.0
+ORDER_TIMEOUT_S = 1.0
+RELEASE_TIMEOUT_S = 3.0
+RELEASE_RETRY_S = 0.5
+
+
+@attrs.define(eq=False)
+class Gang:
+    """One attempt of a job on its workers.
+
+    :param acked: when each member last acknowledged a renewal, in seconds.
+    :param started: whether every member was started.
+    :param closing: whether the gang is being released, so that reports about it are ignored.
+    """
+
+    gang_id: str
+    job_id: str
+    placement: Placement
+    acked: dict[str, float] = attrs.field(factory=dict)
+    started: bool = False
+    started_at: float = 0.0
+    closing: bool = False
+
+    @property
+    def workers(self) -> tuple[str, ...]:
+        """The workers of the gang; the first one answers the caller."""
+        return tuple(member.worker for member in self.placement)
+
+    def renewable(self, now: float) -> bool:
+        """Whether every member acknowledged within a lease, so that the deadline may advance."""
+        return not self.closing and all(
+            now - self.acked.get(worker, 0.0) < LEASE_TTL_S for worker in self.workers
+        )
+
+
+@attrs.frozen
+class StartFailure:
+    """Why a gang did not start.
+
+    :param silent: whether the worker kept silent.
+    :param executed: whether any member may have run.
+    """
+
+    worker: str
+    silent: bool
+    executed: bool
+    reason: str
+
+
+@attrs.frozen
+class ReleaseResult:
+    """What the members said when they were released.
+
+    :param executed: whether any member ran or kept silent about it.
+    :param result: the answer of a first member that had finished already; else ``None``.
+    """
+
+    executed: bool
+    result: bytes | None
+
+
+class GangRunner:
+    """Sends orders about gangs.
+
+    :param find_worker: returns a live worker by name, or ``None`` once it is lost.
+    """
+
+    def __init__(
+        self,
+        workers: WorkerPort,
+        clock: Clock,
+        fence: Fence,
+        find_worker: Callable[[str], Vm | None],
+    ):
+        self._workers = workers
+        self._clock = clock
+        self._fence = fence
+        self._find_worker = find_worker
+
+    def start(
+        self, gang: Gang, lease: Callable[[int], LeaseOrder], start: Callable[[int], StartOrder]
+    ) -> StartFailure | None:
+        """Lease every member, then start all; on any failure release all.
+
+        :param lease: returns the lease order of a member by rank.
+        :param start: returns the start order of a member by rank.
+        :return: ``None`` when every member runs.
+        :raises FenceRejected: another owner directs the workers.
+        """
+        now = self._clock.now()
+        failure = self._order_all(gang, self._workers.lease, lease)
+        if failure is None and not gang.closing:
+            gang.acked = dict.fromkeys(gang.workers, now)
+            failure = self._order_all(gang, self._workers.start, start)
+        if failure is None and not gang.closing:
+            gang.started = True
+            gang.started_at = self._clock.now()
+            return None
+        gang.closing = True
+        released = self.release(gang, checkpoint=False)
+        if failure is None:
+            return StartFailure("", False, released.executed, "stopped while starting")
+        silent = isinstance(failure, TransportError)
+        return StartFailure(failure.peer, silent, released.executed, str(failure))
+
+    def release(self, gang: Gang, *, checkpoint: bool) -> ReleaseResult:
+        """Release every member; waits until each answered or its worker is lost.
+
+        :raises FenceRejected: another owner directs the workers.
+        """
+        gang.closing = True
+        calls = [
+            gevent.spawn(self._release_member, worker, gang.gang_id, checkpoint)
+            for worker in gang.workers
+        ]
+        gevent.joinall(calls)
+        answers = []
+        for call in calls:
+            if isinstance(call.value, FenceRejected):
+                raise call.value
+            answers.append(call.value)
+        executed = any(answer is None or answer.executed for answer in answers)
+        first = answers[0]
+        finished = first is not None and first.state == LeaseState.DONE
+        return ReleaseResult(executed, first.result if finished else None)
+
+    def _order_all(self, gang: Gang, send, make) -> LacewingmillError | None:
+        calls = [
+            gevent.spawn(self._order, send, worker, make(rank))
+            for rank, worker in enumerate(gang.workers)
+        ]
+        gevent.joinall(calls)
+        errors = [call.value for call in calls if call.value is not None]
+        for exc in errors:
+            if isinstance(exc, FenceRejected):
+                gang.closing = True
+                raise exc
+        return errors[0] if errors else None
+
+    def _order(self, send, worker: str, order) -> LacewingmillError | None:
+        vm = self._find_worker(worker)
+        if vm is None:
+            return JobRefused("worker is lost", step="order", peer=worker)
+        try:
+            send(vm, order, timeout_s=ORDER_TIMEOUT_S)
+        except (FenceRejected, JobRefused, TransportError) as exc:
+            exc.peer = worker
+            return exc
+        return None
+
+    def _release_member(
+        self, worker: str, gang_id: str, checkpoint: bool
+    ) -> ReleaseAnswer | FenceRejected | None:
+        while True:
+            vm = self._find_worker(worker)
+            if vm is None:
+                return None
+            try:
+                return self._workers.release(
+                    vm, gang_id, self._fence, checkpoint=checkpoint, timeout_s=RELEASE_TIMEOUT_S
+                )
+            except FenceRejected as exc:
+                return exc
+            except TransportError:
+                self._clock.sleep(RELEASE_RETRY_S)
--- /dev/null
+++ b/src/lacewingmill/cells/recovery.py
@@ -0,0 +1,174 @@
+"""Taking a cell over: what the workers' own lease tables say, and the claims in the store."""
+
+import attrs
+import gevent
+
+from lacewingmill.cells.driver import CellDriver
+from lacewingmill.cells.gangs import Gang
+from lacewingmill.cells.messages import JobPhase, JobReport, JobSpec, SubmitJob
+from lacewingmill.codec import decode
+from lacewingmill.exceptions import FenceRejected, TransportError
+from lacewingmill.models import Vm
+from lacewingmill.ports import ApplicationAnswer, Clock, LeaseState, WorkerLease, WorkerPort
+from lacewingmill.scheduling.messages import (
+    GangRecovered,
+    Member,
+    RunningGang,
+    WorkerJoined,
+    WorkerNode,
+)
+
+__all__ = ["RecoveredCell", "recover_cell"]
+
+RECOVERY_WAIT_S = 2.0
+RELEASE_TIMEOUT_S = 1.0
+RECOVERED_DEADLINE_S = 24 * 3600.0
+
+
+@attrs.define
+class RecoveredCell:
+    """What a new owner found.
+
+    :param running: gangs taken over.
+    :param ended: jobs whose outcome was found.
+    :param answered: workers whose lease table is known.
+    """
+
+    running: int = 0
+    ended: int = 0
+    answered: tuple[str, ...] = ()
+
+
+def recover_cell(
+    driver: CellDriver, workers: WorkerPort, clock: Clock, vms: tuple[Vm, ...]
+) -> RecoveredCell:
+    """Read every worker's lease table under the new fence and take over what runs whole.
+
+    From here on the workers refuse the old owner. Gangs that are not whole are released.
+
+    :raises FenceRejected: somebody else took the cell over with a higher fence.
+    """
+    tables = _read_tables(driver, workers, vms)
+    found = RecoveredCell(answered=tuple(tables))
+    for vm in vms:
+        if vm.name in tables:
+            _join(driver, vm)
+    gangs: dict[str, dict[str, WorkerLease]] = {}
+    for worker, leases in tables.items():
+        driver.note_table(worker, leases)
+        for lease in leases:
+            gangs.setdefault(lease.gang, {})[worker] = lease
+    broken = [
+        (gang_id, worker)
+        for gang_id, members in gangs.items()
+        if not _take_gang(driver, clock, found, gang_id, members)
+        for worker in members
+    ]
+    _release_broken(driver, workers, vms, broken)
+    return found
+
+
+def _release_broken(
+    driver: CellDriver, workers: WorkerPort, vms: tuple[Vm, ...], broken: list[tuple[str, str]]
+) -> None:
+    """Release the members of gangs that are not whole."""
+    by_name = {vm.name: vm for vm in vms}
+    calls = [
+        gevent.spawn(_release, driver, workers, by_name[worker], gang_id)
+        for gang_id, worker in broken
+    ]
+    gevent.joinall(calls, timeout=RECOVERY_WAIT_S)
+
+
+def _release(driver: CellDriver, workers: WorkerPort, vm: Vm, gang_id: str) -> None:
+    try:
+        workers.release(vm, gang_id, driver.fence, checkpoint=False, timeout_s=RELEASE_TIMEOUT_S)
+    except (FenceRejected, TransportError):
+        return  # the watch meets the orphan again
+
+
+def _read_tables(
+    driver: CellDriver, workers: WorkerPort, vms: tuple[Vm, ...]
+) -> dict[str, tuple[WorkerLease, ...]]:
+    calls = {vm.name: gevent.spawn(_read_table, driver, workers, vm) for vm in vms}
+    gevent.joinall(calls.values(), timeout=RECOVERY_WAIT_S)
+    tables = {}
+    for name, call in calls.items():
+        if isinstance(call.value, FenceRejected):
+            raise call.value
+        if call.value is not None:
+            tables[name] = call.value
+        elif not call.dead:
+            call.kill(block=False)
+    return tables
+
+
+def _read_table(
+    driver: CellDriver, workers: WorkerPort, vm: Vm
+) -> tuple[WorkerLease, ...] | FenceRejected | None:
+    try:
+        return workers.sync(vm, driver.fence, (), after=-1, wait_s=0.0).leases
+    except FenceRejected as exc:
+        return exc
+    except TransportError:
+        return None
+
+
+def _join(driver: CellDriver, vm: Vm) -> None:
+    driver.watch.expect_live(vm)
+    node = WorkerNode(
+        vm.name, vm.rack, vm.failure_domain, vm.accelerators, vm.processors, vm.memory_gb
+    )
+    driver.feed(WorkerJoined(node))
+
+
+def _take_gang(
+    driver: CellDriver,
+    clock: Clock,
+    found: RecoveredCell,
+    gang_id: str,
+    members: dict[str, WorkerLease],
+) -> bool:
+    """Take a gang over or keep its outcome; return whether its members need no release."""
+    any_member = next(iter(members.values()))
+    spec = decode(any_member.spec, JobSpec)
+    submit = SubmitJob(spec.job, spec.key, b"", "", RECOVERED_DEADLINE_S)
+    first = members.get(any_member.members[0])
+    if first is not None and first.state == LeaseState.DONE:
+        answer = ApplicationAnswer(200, "application/json", first.result, any_member.members[0])
+        driver.keep_outcome(submit, JobReport(spec.job.job_id, JobPhase.DONE, answer))
+        found.ended += 1
+        return False
+    whole = len(members) == len(any_member.members) and all(
+        lease.state == LeaseState.RUNNING for lease in members.values()
+    )
+    if whole:
+        _take_running(driver, clock, gang_id, spec, submit, members)
+        found.running += 1
+        return True
+    executed = any(lease.executed for lease in members.values())
+    complete = len(members) == len(any_member.members)
+    if not spec.job.idempotent and (executed or not complete):
+        reason = "the gang was not whole when the cell's owner changed"
+        report = JobReport(spec.job.job_id, JobPhase.UNKNOWN, reason=reason, step="recover")
+        driver.keep_outcome(submit, report)
+        found.ended += 1
+    return False
+
+
+def _take_running(
+    driver: CellDriver,
+    clock: Clock,
+    gang_id: str,
+    spec: JobSpec,
+    submit: SubmitJob,
+    members: dict[str, WorkerLease],
+) -> None:
+    order = next(iter(members.values())).members
+    placement = tuple(Member(worker, members[worker].accelerators) for worker in order)
+    now = clock.now()
+    started_at = now - max(0.0, clock.wall() - spec.started_wall)
+    gang = Gang(gang_id, spec.job.job_id, placement, started=True, started_at=started_at)
+    gang.acked = dict.fromkeys(gang.workers, now)
+    driver.adopt(submit, gang)
+    driver.feed(GangRecovered(RunningGang(spec.job, placement, spec.guaranteed, started_at)))
--- /dev/null
+++ b/src/lacewingmill/cells/worker_watch.py
@@ -0,0 +1,149 @@
+"""One synchronisation loop per worker: renews leases, follows its lease table, notices silence."""
+
+from typing import Protocol
+
+import gevent
+
+from lacewingmill.exceptions import FenceRejected, TransportError
+from lacewingmill.models import Fence, Vm
+from lacewingmill.ports import Clock, SyncAnswer, WorkerLease, WorkerPort
+
+__all__ = ["WatchListener", "WorkerWatch"]
+
+SYNC_WAIT_S = 1.0
+SYNC_RETRY_S = 0.5
+SILENT_AFTER_S = 3.0
+RELEASE_TIMEOUT_S = 1.0
+
+
+class WatchListener(Protocol):
+    """Who is told about workers; the driver of the cell."""
+
+    def renewable_gangs(self, worker: str) -> tuple[str, ...]:
+        """Return the gangs on a worker whose lease may be renewed."""
+
+    def worker_acked(self, worker: str, renewed: tuple[str, ...], at: float) -> None:
+        """Take in which leases a worker renewed."""
+
+    def worker_reported(self, worker: str, leases: tuple[WorkerLease, ...]) -> list[str]:
+        """Take in a lease table and return the gangs that nobody owns."""
+
+    def worker_joined(self, vm: Vm) -> None:
+        """A worker's lease table is known."""
+
+    def worker_lost(self, worker: str) -> None:
+        """A worker keeps silent or has left."""
+
+    def fenced(self) -> None:
+        """A worker has accepted a higher fence."""
+
+
+class WorkerWatch:
+    """Follows the workers of a cell.
+
+    :param listener: is told about joins, losses and lease tables.
+    """
+
+    def __init__(self, workers: WorkerPort, clock: Clock, fence: Fence, listener: WatchListener):
+        self._workers = workers
+        self._clock = clock
+        self._fence = fence
+        self._listener = listener
+        self._known: dict[str, Vm] = {}
+        self._live: dict[str, Vm] = {}
+        self._loops: dict[str, gevent.Greenlet] = {}
+        self._stopped = False
+
+    def set_workers(self, vms: tuple[Vm, ...]) -> None:
+        """Follow these workers and no others.
+
+        :param vms: live workers by the VM list and own signals; leaving ones are kept as long as
+            they hold gangs, which the scheduler is told by the loss of the worker.
+        """
+        wanted = {vm.name: vm for vm in vms}
+        for name in list(self._known):
+            if name not in wanted or wanted[name].address != self._known[name].address:
+                self._drop(name)
+        for name, vm in wanted.items():
+            if name not in self._known and not self._stopped:
+                self._known[name] = vm
+                self._loops[name] = gevent.spawn(self._follow, vm)
+
+    def find(self, worker: str) -> Vm | None:
+        """Return a live worker, or ``None`` once it is lost."""
+        return self._live.get(worker)
+
+    def live(self) -> tuple[str, ...]:
+        """Return the names of the live workers."""
+        return tuple(self._live)
+
+    def expect_live(self, vm: Vm) -> None:
+        """Count a worker as live before its loop has run; used by the recovery."""
+        self._live[vm.name] = vm
+
+    def stop(self) -> None:
+        """Stop all loops."""
+        self._stopped = True
+        for loop in self._loops.values():
+            if loop is not gevent.getcurrent():
+                loop.kill(block=False)
+        self._loops.clear()
+
+    def _drop(self, name: str) -> None:
+        del self._known[name]
+        self._loops.pop(name).kill(block=False)
+        if self._live.pop(name, None) is not None:
+            self._listener.worker_lost(name)
+
+    def _follow(self, vm: Vm) -> None:
+        version = -1
+        heard_at = self._clock.now()
+        while not self._stopped:
+            sent_at = self._clock.now()
+            try:
+                answer = self._sync(vm, version)
+            except FenceRejected:
+                self._listener.fenced()
+                return
+            except TransportError:
+                if self._clock.now() - heard_at > SILENT_AFTER_S:
+                    version = -1
+                    self._lose(vm)
+                self._clock.sleep(SYNC_RETRY_S)
+                continue
+            heard_at = self._clock.now()
+            version = answer.version
+            self._listener.worker_acked(vm.name, answer.renewed, sent_at)
+            if not self._take_report(vm, answer):
+                version = -1
+
+    def _sync(self, vm: Vm, version: int) -> SyncAnswer:
+        joined = vm.name in self._live
+        renew = self._listener.renewable_gangs(vm.name)
+        return self._workers.sync(
+            vm, self._fence, renew, after=version, wait_s=SYNC_WAIT_S if joined else 0.0
+        )
+
+    def _take_report(self, vm: Vm, answer: SyncAnswer) -> bool:
+        """Pass a lease table on and release orphans; return whether the table is clean."""
+        if answer.changed:
+            orphans = self._listener.worker_reported(vm.name, answer.leases)
+            if not all([self._release_orphan(vm, gang) for gang in orphans]):
+                return False
+        if vm.name not in self._live and vm.name in self._known:
+            self._live[vm.name] = vm
+            self._listener.worker_joined(vm)
+        return True
+
+    def _release_orphan(self, vm: Vm, gang: str) -> bool:
+        try:
+            self._workers.release(
+                vm, gang, self._fence, checkpoint=False, timeout_s=RELEASE_TIMEOUT_S
+            )
+        except TransportError:
+            return False
+        return True
+
+    def _lose(self, vm: Vm) -> None:
+        if self._live.pop(vm.name, None) is not None:
+            self._listener.worker_lost(vm.name)
--- /dev/null
+++ b/src/lacewingmill/cli.py
@@ -0,0 +1,214 @@
+"""The command line."""
+
+import argparse
+import getpass
+import signal
+import sys
+import uuid
+from pathlib import Path
+
+import gevent
+
+from lacewingmill import __version__
+from lacewingmill.exceptions import (
+    CatalogueError,
+    DocumentInvalid,
+    LacewingmillError,
+    PeerError,
+    SettingsError,
+)
+
+__all__ = ["ExitCode", "main"]
+
+
+class ExitCode:
+    """Exit codes of all commands; docs/OPERATING.md lists them."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    UNREACHABLE = 5
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run a command and return its exit code.
+
+    :param argv: arguments without the program's name; those of the process by default.
+    """
+    args = build_parser().parse_args(argv)
+    try:
+        return args.run(args)
+    except (SettingsError, DocumentInvalid) as exc:
+        print(exc.message, file=sys.stderr)
+        return ExitCode.INVALID
+    except CatalogueError as exc:
+        print(f"lacewingmill: {exc}", file=sys.stderr)
+        return ExitCode.CONFLICT
+    except PeerError as exc:
+        print(f"lacewingmill: {exc}; try another entry VM", file=sys.stderr)
+        return ExitCode.UNREACHABLE
+    except LacewingmillError as exc:
+        print(f"lacewingmill: {exc}", file=sys.stderr)
+        return ExitCode.FAILED
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="lacewingmill", description="Scheduler for multi-accelerator jobs under guarantees."
+    )
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    serve = _add(commands, "serve", _serve, "run an entry VM")
+    serve.add_argument("--settings", type=Path, required=True, help="YAML settings of this VM")
+    check = _add(commands, "check", _check, "check the service files under a directory")
+    check.add_argument("directory", type=Path)
+    publish = _add(commands, "publish", _publish, "check and publish service files")
+    publish.add_argument("directory", type=Path)
+    publish.add_argument("--base", type=int, help="refuse unless this revision is in force")
+    publish.add_argument("--by", default=getpass.getuser(), help="operator named in the audit")
+    status = _add(commands, "status", _status, "show the entry VMs and the cell")
+    explain = _add(commands, "explain", _explain, "say why a job waits, runs or ended")
+    explain.add_argument("job")
+    audit = _add(commands, "audit", _audit, "list the accepted configurations")
+    _add(commands, "version", _version, "print the version")
+    for command in (publish, status, explain, audit):
+        command.add_argument(
+            "--to", required=True, metavar="URL", help="control address of any entry VM"
+        )
+    for command in (check, publish, status, explain, audit):
+        command.add_argument("--json", action="store_true", help="print JSON for programs")
+    return parser
+
+
+def _add(commands, name: str, run, text: str) -> argparse.ArgumentParser:
+    command = commands.add_parser(name, help=text, description=text[0].upper() + text[1:] + ".")
+    command.set_defaults(run=run)
+    return command
+
+
+def _serve(args: argparse.Namespace) -> int:
+    gevent.config.resolver = "block"  # addresses are IP numbers; other resolvers start threads
+    from lacewingmill.composition import build_vm
+    from lacewingmill.events import configure_logging
+    from lacewingmill.settings import load_settings
+
+    settings = load_settings(args.settings)
+    configure_logging()
+    vm = build_vm(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, vm.begin_stop)
+    vm.start()
+    vm.wait()
+    return ExitCode.OK
+
+
+def _check(args: argparse.Namespace) -> int:
+    from lacewingmill.catalogue.documents import load_services
+
+    services = load_services(args.directory)
+    if args.json:
+        _print_json(services)
+    else:
+        names = ", ".join(service.name for service in services)
+        print(f"{len(services)} service file(s) are right: {names}")
+    return ExitCode.OK
+
+
+def _publish(args: argparse.Namespace) -> int:
+    from lacewingmill.catalogue.documents import load_services
+    from lacewingmill.operations import PublishOrder
+
+    services = load_services(args.directory)
+    client = _client(args)
+    order = PublishOrder(services, args.by, uuid.uuid4().hex, args.base)
+    result = client.publish(order)
+    statuses = client.wait_in_force(result.index.revision)
+    if args.json:
+        _print_json((result, statuses))
+    else:
+        print(f"revision {result.index.revision} accepted")
+        for line in result.index.changes:
+            print(f"  {line}")
+        for line in result.warnings:
+            print(f"  warning: with one worker lost, {line}")
+        for status in statuses:
+            state = "in force" if status.revision >= result.index.revision else "NOT in force"
+            print(f"  {status.vm}: revision {status.revision} {state}")
+    in_force = all(status.revision >= result.index.revision for status in statuses)
+    return ExitCode.OK if in_force else ExitCode.FAILED
+
+
+def _status(args: argparse.Namespace) -> int:
+    client = _client(args)
+    statuses, cell = client.statuses(), client.cell()
+    if args.json:
+        _print_json((statuses, cell))
+        return ExitCode.OK
+    for status in statuses:
+        owner = status.owner.vm if status.owner else "unknown"
+        state = status.not_ready or "ready"
+        print(
+            f"{status.vm}: {state}, revision {status.revision}, {status.in_flight} in flight, "
+            f"{status.queued} queued, cell owner {owner}"
+        )
+    if cell is None:
+        print("cell: no owner answers")
+        return ExitCode.FAILED
+    print(
+        f"cell: {cell.workers} workers, {cell.free_accelerators} of {cell.accelerators} "
+        f"accelerators free, {cell.waiting_jobs} of {cell.jobs} jobs wait, "
+        f"fragmentation {cell.fragmentation:.2f}"
+    )
+    for line in cell.shortfalls:
+        print(f"  guarantee cannot be reclaimed now: {line}")
+    for line in cell.quarantined:
+        print(f"  worker takes no jobs for now: {line}")
+    return ExitCode.OK
+
+
+def _explain(args: argparse.Namespace) -> int:
+    report = _client(args).job(args.job)
+    if report is None:
+        print(f"lacewingmill: no job {args.job} is known; reports are kept for 10 minutes")
+        return ExitCode.FAILED
+    if args.json:
+        _print_json(report)
+        return ExitCode.OK
+    print(f"job {report.job_id}: {report.phase.value.replace('_', ' ')}")
+    if report.reason:
+        print(f"  because {report.reason}")
+    for note in report.notes:
+        print(f"  {note.text}")
+    return ExitCode.OK
+
+
+def _audit(args: argparse.Namespace) -> int:
+    indexes = _client(args).audit()
+    if args.json:
+        _print_json(indexes)
+        return ExitCode.OK
+    for index in indexes:
+        print(f"revision {index.revision} by {index.by} on {index.base}")
+        for line in index.changes:
+            print(f"  {line}")
+    return ExitCode.OK
+
+
+def _version(args: argparse.Namespace) -> int:
+    print(f"lacewingmill {__version__}")
+    return ExitCode.OK
+
+
+def _client(args: argparse.Namespace):
+    gevent.config.resolver = "block"
+    from lacewingmill.client import OperatorClient
+
+    return OperatorClient(args.to)
+
+
+def _print_json(value) -> None:
+    from lacewingmill.codec import encode_json
+
+    print(encode_json(value).decode())
--- /dev/null
+++ b/src/lacewingmill/composition.py
@@ -0,0 +1,98 @@
+"""The composition root: wires the parts of an entry VM together."""
+
+import random
+
+import gevent
+
+from lacewingmill.adapters.clock import GeventClock
+from lacewingmill.adapters.http_client import HttpCaller
+from lacewingmill.adapters.http_server import HttpService
+from lacewingmill.adapters.metrics import Metrics
+from lacewingmill.adapters.peers import RemoteCell
+from lacewingmill.adapters.store import HttpStore
+from lacewingmill.adapters.targets import HttpExecutors, HttpVmList, HttpWorkers
+from lacewingmill.catalogue.current import CurrentCatalogue
+from lacewingmill.catalogue.publisher import Publisher
+from lacewingmill.cells.cell import Cell
+from lacewingmill.cells.driver import CellParts
+from lacewingmill.cells.elector import Elector
+from lacewingmill.cells.journal import ClaimJournal
+from lacewingmill.control import Control
+from lacewingmill.entry import Entry
+from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.membership.heartbeats import Heartbeats
+from lacewingmill.membership.view import FleetView
+from lacewingmill.models import OwnerRecord
+from lacewingmill.operations import Operations
+from lacewingmill.routing.jobs import CellPort, JobRouter
+from lacewingmill.routing.ordinary import OrdinaryRouter
+from lacewingmill.scheduling.scheduler import Scheduler
+from lacewingmill.settings import Settings
+from lacewingmill.vm import EntryVm
+
+__all__ = ["build_vm"]
+
+
+def build_vm(settings: Settings) -> EntryVm:
+    """Build an entry VM from its settings."""
+    clock = GeventClock()
+    log = EventLog(settings.vm)
+    caller = HttpCaller()
+    store = HttpStore(settings.store, caller)
+    fleet = FleetView(settings.vm)
+    metrics = Metrics(settings.vm)
+    rng = random.Random()
+    journal = ClaimJournal(store, clock, settings.vm)
+    vm = EntryVm(settings, clock, log, caller, store, HttpVmList(settings.vm_list, caller), fleet)
+    catalogue = CurrentCatalogue(store, log, vm.configured)
+    parts = CellParts(Scheduler(), HttpWorkers(caller), journal, clock, log, settings.vm)
+    cell = Cell(parts, settings.weights, lambda: elector.depose())
+    elector = Elector(
+        settings.cell,
+        settings.vm,
+        settings.control,
+        store,
+        clock,
+        log,
+        fleet,
+        cell.take,
+        cell.leave,
+    )
+    heartbeats = Heartbeats(caller, clock, log, fleet, vm.compose_heartbeat, vm.heard, rng)
+    ordinary = OrdinaryRouter(HttpExecutors(caller), journal, clock, log, settings.vm, rng)
+
+    def connect(owner: OwnerRecord) -> CellPort:
+        return cell if owner.vm == settings.vm else RemoteCell(caller, owner.control)
+
+    jobs = JobRouter(clock, lambda: elector.owner, connect)
+    entry = Entry(lambda: catalogue.configuration, ordinary, jobs, metrics, clock, gevent.spawn)
+    operations = Operations(Publisher(store, clock), fleet)
+    control = Control(cell, catalogue, heartbeats, metrics, operations, vm.status, vm.why_not_ready)
+
+    def crashed(exc: BaseException) -> None:
+        log.emit(LogEvent.REQUEST_CRASHED, error=repr(exc))
+
+    entry_service = HttpService(settings.listen, entry.handle, crashed)
+    control_service = HttpService(settings.control, control.handle, crashed)
+    metrics.watch(
+        "lacewingmill_requests_in_flight",
+        "Requests of callers in flight at this VM",
+        lambda: entry_service.in_flight,
+    )
+    metrics.watch(
+        "lacewingmill_requests_queued",
+        "Ordinary requests that wait for a slot at this VM",
+        lambda: ordinary.queued,
+    )
+    metrics.watch(
+        "lacewingmill_catalogue_revision",
+        "Catalogue revision in force at this VM",
+        lambda: catalogue.revision,
+    )
+    metrics.watch(
+        "lacewingmill_cell_owner",
+        "1 while this VM owns the cell",
+        lambda: float(elector.is_owner),
+    )
+    vm.attach(catalogue, cell, elector, heartbeats, ordinary, entry_service, control_service)
+    return vm
--- /dev/null
+++ b/src/lacewingmill/events.py
@@ -0,0 +1,78 @@
+"""The catalogue of log events; docs/EVENTS.md lists the same, and a test holds them together."""
+
+import enum
+import sys
+from typing import Any
+
+import structlog
+
+__all__ = ["EventLog", "LogEvent", "configure_logging"]
+
+
+class LogEvent(enum.Enum):
+    """A numbered event: number, level, meaning."""
+
+    VM_STARTED = (100, "info", "The entry VM accepts requests.")
+    VM_STOPPING = (101, "info", "A planned stop began; requests in flight are finished.")
+    VM_STOPPED = (102, "info", "The entry VM stopped with nothing in flight.")
+    NOT_READY = (103, "warning", "The VM turned not ready; the reason is given.")
+    READY = (104, "info", "The VM turned ready.")
+    REQUEST_CRASHED = (110, "error", "A request raised an unexpected error; others go on.")
+    CATALOGUE_IN_FORCE = (200, "info", "A configuration revision is in force on this VM.")
+    CATALOGUE_UNREADABLE = (201, "error", "A published document cannot be read; the old one stays.")
+    STORE_UNAVAILABLE = (210, "warning", "The key-value service does not answer.")
+    STORE_AVAILABLE = (211, "info", "The key-value service answers again.")
+    VM_LIST_UNAVAILABLE = (220, "warning", "The VM list does not answer; the last one is used.")
+    PEER_SILENT = (230, "warning", "An entry VM does not answer heartbeats.")
+    PEER_BACK = (231, "info", "An entry VM answers heartbeats again.")
+    TARGET_LEAVING = (240, "info", "A target is leaving; it gets no new work.")
+    TARGET_SUSPECT = (241, "warning", "An executor failed several calls; it is passed over.")
+    CELL_TAKEN = (300, "info", "This VM owns the cell under the given fence.")
+    CELL_SUCCEEDED = (301, "warning", "This VM took the cell over while the store was away.")
+    CELL_LOST = (302, "warning", "Another VM owns the cell; this one stops directing workers.")
+    CELL_RECOVERED = (303, "info", "Gangs were found on the workers and taken over.")
+    CELL_HANDED_OVER = (304, "info", "The cell was handed over at a planned stop.")
+    GANG_STARTED = (310, "info", "All members of a gang run.")
+    GANG_REJECTED = (311, "warning", "A gang could not be leased or started; all was released.")
+    GANG_EVICTED = (312, "info", "A gang gave its accelerators back.")
+    GANG_STOPPED = (313, "info", "A gang was stopped whole.")
+    JOB_DONE = (320, "info", "A job ended with an answer.")
+    JOB_REFUSED = (321, "info", "A job was refused and provably not run.")
+    JOB_UNKNOWN = (322, "warning", "Whether a job ran to its end cannot be proved.")
+    WORKER_JOINED = (330, "info", "A worker is live and its lease table is known.")
+    WORKER_LOST = (331, "warning", "A worker keeps silent or left; its gangs end whole.")
+    WORKER_QUARANTINED = (332, "warning", "A worker fails job after job and takes none for now.")
+    ORPHAN_RELEASED = (333, "warning", "A worker held a gang that nobody owns; it was released.")
+    GUARANTEE_SHORTFALL = (340, "error", "A guaranteed shape cannot be reclaimed now.")
+
+    def __init__(self, number: int, level: str, meaning: str):
+        self.number = number
+        self.level = level
+        self.meaning = meaning
+
+
+class EventLog:
+    """Writes numbered events.
+
+    :param vm: name of this VM, part of every line.
+    """
+
+    def __init__(self, vm: str):
+        self._logger = structlog.get_logger().bind(vm=vm)
+
+    def emit(self, event: LogEvent, **fields: Any) -> None:
+        """Write one event with its fields."""
+        write = getattr(self._logger, event.level)
+        write(event.name.lower(), number=event.number, **fields)
+
+
+def configure_logging() -> None:
+    """Write log lines as JSON to standard error."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+    )
--- /dev/null
+++ b/src/lacewingmill/operations.py
@@ -0,0 +1,87 @@
+"""What operators do through the control address of any entry VM: publish, audit, fleet."""
+
+import attrs
+
+from lacewingmill.catalogue.documents import check_services
+from lacewingmill.catalogue.packing import check_packing
+from lacewingmill.catalogue.publisher import Publisher
+from lacewingmill.exceptions import DocumentInvalid
+from lacewingmill.membership.view import FleetView
+from lacewingmill.models import CatalogueIndex, Role, Service
+
+__all__ = ["Fleet", "FleetMember", "Operations", "PublishOrder", "PublishResult"]
+
+
+@attrs.frozen
+class PublishOrder:
+    """A publication.
+
+    :param write_id: unique per publication; repeating the order is harmless.
+    :param base: the revision that the files were based on; ``None`` for the present one.
+    """
+
+    services: tuple[Service, ...]
+    by: str
+    write_id: str
+    base: int | None
+
+
+@attrs.frozen
+class PublishResult:
+    """An accepted publication.
+
+    :param warnings: guarantees that would not pack with one worker lost.
+    """
+
+    index: CatalogueIndex
+    warnings: tuple[str, ...]
+
+
+@attrs.frozen
+class FleetMember:
+    """An entry VM and its control address."""
+
+    vm: str
+    control: str
+
+
+@attrs.frozen
+class Fleet:
+    """The live entry VMs."""
+
+    members: tuple[FleetMember, ...]
+
+
+class Operations:
+    """Carries operators' orders out."""
+
+    def __init__(self, publisher: Publisher, fleet: FleetView):
+        self._publisher = publisher
+        self._fleet = fleet
+
+    def publish(self, order: PublishOrder) -> PublishResult:
+        """Check a configuration against the live workers and publish it.
+
+        :raises DocumentInvalid: when services clash or guarantees cannot pack together.
+        :raises PublishConflict: when another operator published first.
+        :raises StoreUnavailable: when the store stayed away.
+        """
+        findings = check_services(order.services)
+        packing = check_packing(order.services, self._fleet.all())
+        findings.extend(packing.missing)
+        if findings:
+            raise DocumentInvalid(findings)
+        index = self._publisher.publish(order.services, order.by, order.write_id, order.base)
+        return PublishResult(index, packing.fragile)
+
+    def audit(self) -> tuple[CatalogueIndex, ...]:
+        """Return all accepted indexes, oldest first.
+
+        :raises StoreUnavailable: when the store does not answer.
+        """
+        return tuple(self._publisher.audit())
+
+    def fleet(self) -> Fleet:
+        """Return the live entry VMs."""
+        members = (FleetMember(vm.name, vm.control) for vm in self._fleet.targets(Role.ENTRY))
+        return Fleet(tuple(members))
--- /dev/null
+++ b/src/lacewingmill/routing/jobs.py
@@ -0,0 +1,156 @@
+"""Job routes: from the caller's own entry VM to the owner of the cell and back."""
+
+import hashlib
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from lacewingmill.cells.messages import JobPhase, JobReport, SubmitJob
+from lacewingmill.exceptions import JobRefused, NotOwner, OutcomeUnknown, TransportError
+from lacewingmill.models import OwnerRecord
+from lacewingmill.ports import ApplicationAnswer, Clock
+from lacewingmill.routing.ordinary import CallerRequest
+from lacewingmill.scheduling.messages import Job
+
+__all__ = ["CellPort", "JobRouter", "make_job_id"]
+
+POLL_S = 2.0
+RETRY_S = 0.3
+ID_DIGITS = 24
+
+
+class CellPort(Protocol):
+    """The owner of a cell, in this process or in another."""
+
+    def submit(self, submit: SubmitJob) -> None:
+        """Hand a job in; repeating it is harmless."""
+
+    def report(self, job_id: str, wait_s: float) -> JobReport | None:
+        """Return a job's report, waiting for its end; ``None`` when it is unheard of."""
+
+    def cancel(self, job_id: str) -> None:
+        """Give a job up."""
+
+
+def make_job_id(service: str, team: str, key: str) -> str:
+    """Return the id of the job that a request with this key becomes, whoever takes it in."""
+    digest = hashlib.sha256("\0".join((service, team, key)).encode()).hexdigest()
+    return digest[:ID_DIGITS]
+
+
+class JobRouter:
+    """Hands jobs to the owner, follows it when the owner changes, and returns the answer.
+
+    :param find_owner: returns the owner as far as this VM knows.
+    :param connect: returns a port to an owner.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        find_owner: Callable[[], OwnerRecord | None],
+        connect: Callable[[OwnerRecord], CellPort],
+    ):
+        self._clock = clock
+        self._find_owner = find_owner
+        self._connect = connect
+
+    def serve(self, req: CallerRequest) -> ApplicationAnswer:
+        """Run a job and return its answer.
+
+        :raises JobRefused: it was provably not run.
+        :raises OutcomeUnknown: whether it ran cannot be proved.
+        """
+        submit = self.make_submission(req)
+        report = self.follow(submit, req.deadline)
+        if report.phase is JobPhase.DONE:
+            return report.answer
+        if report.phase is JobPhase.NOT_RUN:
+            raise JobRefused(report.reason, step=report.step, peer=report.peer)
+        raise OutcomeUnknown(report.reason, step=report.step, peer=report.peer)
+
+    def make_submission(self, req: CallerRequest) -> SubmitJob:
+        """Return the message that hands a request in as a job."""
+        job = Job(
+            make_job_id(req.service.name, req.team.name, req.key),
+            req.service.name,
+            req.team.name,
+            req.service.shape(req.route.shape),
+            req.route.claims,
+            req.route.idempotent,
+            req.route.checkpoint,
+            0.0,
+        )
+        left = max(0.0, req.deadline - self._clock.now())
+        return SubmitJob(job, req.key, req.body, req.content_type, left)
+
+    def follow(self, submit: SubmitJob, deadline: float) -> JobReport:
+        """Submit a job and wait for its end, submitting anew whenever the owner changes."""
+        job_id = submit.job.job_id
+        submitted_to: OwnerRecord | None = None
+        ever_sent = False
+        while (left := deadline - self._clock.now()) > 0:
+            owner = self._find_owner()
+            if owner is None:
+                self._clock.sleep(min(RETRY_S, left))
+                continue
+            cell = self._connect(owner)
+            try:
+                if owner != submitted_to:
+                    ever_sent = True
+                    cell.submit(attrs.evolve(submit, deadline_s=left))
+                    submitted_to = owner
+                report = cell.report(job_id, min(POLL_S, left))
+            except (NotOwner, TransportError):
+                submitted_to = None
+                self._clock.sleep(min(RETRY_S, left))
+                continue
+            if report is None:
+                submitted_to = None
+            elif report.phase.final:
+                return report
+        return self._give_up(job_id, ever_sent, submitted_to)
+
+    def poll(self, job_id: str, wait_s: float) -> JobReport | None:
+        """Return a job's report from the present owner.
+
+        :raises NotOwner: when no owner is known.
+        :raises TransportError: when it does not answer.
+        """
+        return self._connect(self._owner()).report(job_id, wait_s)
+
+    def cancel(self, job_id: str) -> None:
+        """Give a job up.
+
+        :raises NotOwner: when no owner is known.
+        :raises TransportError: when it does not answer.
+        """
+        self._connect(self._owner()).cancel(job_id)
+
+    def _owner(self) -> OwnerRecord:
+        owner = self._find_owner()
+        if owner is None:
+            raise NotOwner("no owner of the cell is known", step="find owner")
+        return owner
+
+    def _give_up(self, job_id: str, ever_sent: bool, submitted_to: OwnerRecord | None) -> JobReport:
+        """The deadline passed: only the owner can say that the job was not run."""
+        if not ever_sent:
+            reason = "no owner of the cell could be reached before the deadline"
+            return JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="submit")
+        reason = "the deadline passed before the job's outcome was known"
+        peer = submitted_to.vm if submitted_to else ""
+        if submitted_to is not None:
+            report = self._cancel_and_ask(submitted_to, job_id)
+            if report is not None and report.phase.final:
+                return report
+        return JobReport(job_id, JobPhase.UNKNOWN, reason=reason, step="wait", peer=peer)
+
+    def _cancel_and_ask(self, owner: OwnerRecord, job_id: str) -> JobReport | None:
+        try:
+            cell = self._connect(owner)
+            cell.cancel(job_id)
+            return cell.report(job_id, 0.0)
+        except (NotOwner, TransportError):
+            return None
--- /dev/null
+++ b/src/lacewingmill/scheduling/cluster.py
@@ -0,0 +1,206 @@
+"""The accelerators of a cell: what is free, what may not be evicted, what is reserved.
+
+The safety condition of the guarantees is a count on each worker: work that may not be evicted
+(``hard``) plus the reserved parts of unclaimed guaranteed shapes never exceeds the worker's
+capacity, in accelerators, processors and memory alike. Evictable work fits around both and is
+taken out when a guarantee is claimed. The counts change in constant time per placement, and
+workers are indexed by their free accelerators, so that the cost of a decision does not grow with
+the fleet.
+"""
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from lacewingmill.models import Adjacency, Shape
+from lacewingmill.scheduling.messages import Member, Placement, WorkerNode
+
+__all__ = ["Block", "Cluster", "Node", "Part", "Resources"]
+
+EPSILON = 1e-9
+
+
+@attrs.define
+class Resources:
+    """Amounts of the three resources of a worker."""
+
+    accelerators: int = 0
+    processors: float = 0.0
+    memory_gb: float = 0.0
+
+    def add(self, shape: Shape, units: int) -> None:
+        """Add the needs of ``units`` accelerators of a shape; negative units subtract."""
+        self.accelerators += units
+        self.processors += shape.processors * units
+        self.memory_gb += shape.memory_gb * units
+
+
+@attrs.frozen
+class Part:
+    """A number of accelerators on one worker."""
+
+    worker: str
+    units: int
+
+
+Block = tuple[Part, ...]
+
+
+@attrs.define
+class Node:
+    """State of one worker.
+
+    :param free: indices of accelerators that no gang holds.
+    :param used: resources held by gangs.
+    :param hard: resources of work that may not be evicted, pending claims included.
+    :param reserved: resources of unclaimed guaranteed shapes.
+    :param pledged: resources that a pending claim will take once its victims are gone.
+    :param gangs: accelerators by job.
+    """
+
+    info: WorkerNode
+    free: list[int]
+    used: Resources = attrs.field(factory=Resources)
+    hard: Resources = attrs.field(factory=Resources)
+    reserved: Resources = attrs.field(factory=Resources)
+    pledged: Resources = attrs.field(factory=Resources)
+    gangs: dict[str, tuple[int, ...]] = attrs.field(factory=dict)
+
+    def capacity_units(self, shape: Shape) -> int:
+        """Accelerators of a shape that fit into the empty worker."""
+        return self._units(shape, Resources(), Resources())
+
+    def free_units(self, shape: Shape) -> int:
+        """Accelerators of a shape that fit beside all gangs and pending claims."""
+        return self._units(shape, self.used, self.pledged)
+
+    def hard_units(self, shape: Shape) -> int:
+        """Accelerators of a shape that fit beside hard work and reservations."""
+        return self._units(shape, self.hard, self.reserved)
+
+    def unreserved_units(self, shape: Shape) -> int:
+        """Accelerators of a shape that fit beside hard work alone."""
+        return self._units(shape, self.hard, Resources())
+
+    def _units(self, shape: Shape, taken: Resources, more: Resources) -> int:
+        info = self.info
+        units = info.accelerators - taken.accelerators - more.accelerators
+        if shape.processors > 0:
+            left = info.processors - taken.processors - more.processors
+            units = min(units, int((left + EPSILON) / shape.processors))
+        if shape.memory_gb > 0:
+            left = info.memory_gb - taken.memory_gb - more.memory_gb
+            units = min(units, int((left + EPSILON) / shape.memory_gb))
+        return max(0, units)
+
+
+class Cluster:
+    """The workers of a cell, indexed by free accelerators, rack and failure domain."""
+
+    def __init__(self):
+        self.nodes: dict[str, Node] = {}
+        self.racks: dict[str, dict[str, Node]] = {}
+        self.failure_domains: dict[str, dict[str, Node]] = {}
+        self.closed: set[str] = set()
+        self.total_accelerators = 0
+        self.free_accelerators = 0
+        self._by_free: dict[int, dict[str, Node]] = {}
+
+    def add(self, info: WorkerNode) -> Node:
+        """Add a live worker."""
+        node = Node(info, list(range(info.accelerators)))
+        self.nodes[info.worker] = node
+        self.racks.setdefault(info.rack, {})[info.worker] = node
+        self.failure_domains.setdefault(info.failure_domain, {})[info.worker] = node
+        self._by_free.setdefault(len(node.free), {})[info.worker] = node
+        self.total_accelerators += info.accelerators
+        self.free_accelerators += info.accelerators
+        return node
+
+    def remove(self, worker: str) -> None:
+        """Remove a worker that holds no gangs any more."""
+        node = self.nodes.pop(worker)
+        del self._by_free[len(node.free)][worker]
+        for group, name in (
+            (self.racks, node.info.rack),
+            (self.failure_domains, node.info.failure_domain),
+        ):
+            del group[name][worker]
+            if not group[name]:
+                del group[name]
+        self.closed.discard(worker)
+        self.total_accelerators -= node.info.accelerators
+        self.free_accelerators -= len(node.free)
+
+    def close(self, worker: str) -> None:
+        """Take a worker out of placement; its gangs run on."""
+        self.closed.add(worker)
+
+    def open(self, worker: str) -> None:
+        """Let placements use a worker again."""
+        self.closed.discard(worker)
+
+    def allocate(self, job_id: str, shape: Shape, block: Block) -> Placement:
+        """Give free accelerators of a block to a job and return them by index."""
+        members = []
+        for part in block:
+            node = self.nodes[part.worker]
+            indices = tuple(node.free[: part.units])
+            self._set_free(node, node.free[part.units :])
+            node.used.add(shape, part.units)
+            node.gangs[job_id] = indices
+            members.append(Member(part.worker, indices))
+        return tuple(members)
+
+    def adopt(self, job_id: str, shape: Shape, placement: Placement) -> None:
+        """Give particular accelerators to a job that was found running on them."""
+        for member in placement:
+            node = self.nodes[member.worker]
+            taken = set(member.accelerators)
+            self._set_free(node, [index for index in node.free if index not in taken])
+            node.used.add(shape, len(member.accelerators))
+            node.gangs[job_id] = member.accelerators
+
+    def release(self, job_id: str, shape: Shape, workers: Iterable[str]) -> None:
+        """Free a job's accelerators on those of ``workers`` that are still here."""
+        for worker in workers:
+            node = self.nodes.get(worker)
+            if node is None or job_id not in node.gangs:
+                continue
+            indices = node.gangs.pop(job_id)
+            self._set_free(node, sorted((*node.free, *indices)))
+            node.used.add(shape, -len(indices))
+
+    def usable(self, node: Node) -> bool:
+        """Whether placements may use the worker."""
+        return node.info.worker not in self.closed
+
+    def nodes_by_free(self, least: int) -> Iterator[dict[str, Node]]:
+        """Yield groups of workers with equal free accelerators, fullest first."""
+        for count in sorted(self._by_free):
+            if count >= least and self._by_free[count]:
+                yield self._by_free[count]
+
+    def groups(self, adjacency: Adjacency) -> dict[str, dict[str, Node]]:
+        """Return the blocks wider than a worker that an adjacency allows."""
+        if adjacency is Adjacency.RACK:
+            return self.racks
+        return self.failure_domains
+
+    def fits_empty(self, shape: Shape) -> bool:
+        """Whether any block of the live workers could hold a shape if it were empty."""
+        if shape.adjacency is Adjacency.WORKER:
+            return any(
+                node.capacity_units(shape) >= shape.accelerators for node in self.nodes.values()
+            )
+        return any(
+            sum(node.capacity_units(shape) for node in group.values()) >= shape.accelerators
+            for group in self.groups(shape.adjacency).values()
+        )
+
+    def _set_free(self, node: Node, free: list[int]) -> None:
+        name = node.info.worker
+        del self._by_free[len(node.free)][name]
+        self.free_accelerators += len(free) - len(node.free)
+        node.free = free
+        self._by_free.setdefault(len(free), {})[name] = node
--- /dev/null
+++ b/src/lacewingmill/scheduling/messages.py
@@ -0,0 +1,288 @@
+"""Typed events into the scheduler and typed actions out of it.
+
+All times are seconds on the clock of whoever drives the scheduler.
+"""
+
+import attrs
+
+from lacewingmill.models import Adjacency, Shape
+
+__all__ = [
+    "Action",
+    "EvictGang",
+    "Event",
+    "FailJob",
+    "GangRejected",
+    "GangReleased",
+    "GangStarted",
+    "GuaranteedSlots",
+    "GuaranteesChanged",
+    "Job",
+    "JobCancelled",
+    "JobFailed",
+    "JobFinished",
+    "JobSubmitted",
+    "Member",
+    "Placement",
+    "RefuseJob",
+    "RunningGang",
+    "GangRecovered",
+    "SlotKey",
+    "StartGang",
+    "StopGang",
+    "TeamLimit",
+    "Tick",
+    "WorkerJoined",
+    "WorkerLost",
+    "WorkerNode",
+]
+
+
+@attrs.frozen
+class WorkerNode:
+    """A worker as the scheduler sees it."""
+
+    worker: str
+    rack: str
+    failure_domain: str
+    accelerators: int
+    processors: float
+    memory_gb: float
+
+
+@attrs.frozen
+class Member:
+    """The part of a gang on one worker, by accelerator index."""
+
+    worker: str
+    accelerators: tuple[int, ...]
+
+
+Placement = tuple[Member, ...]
+
+
+@attrs.frozen(order=True)
+class SlotKey:
+    """Names whose guaranteed gangs of which shape."""
+
+    service: str
+    team: str
+    shape: str
+
+
+@attrs.frozen
+class GuaranteedSlots:
+    """A guarantee: ``count`` gangs of a shape for one team."""
+
+    key: SlotKey
+    shape: Shape
+    count: int
+
+
+@attrs.frozen
+class TeamLimit:
+    """The most accelerators a team of a service may hold at once."""
+
+    service: str
+    team: str
+    max_accelerators: int
+
+
+@attrs.frozen
+class Job:
+    """A gang job.
+
+    :param claims: whether it takes an open guaranteed slot of its team.
+    :param idempotent: whether it may run twice.
+    :param checkpoint: whether it can be stopped and resumed.
+    :param submitted_at: time of submission, in seconds.
+    """
+
+    job_id: str
+    service: str
+    team: str
+    shape: Shape
+    claims: bool
+    idempotent: bool
+    checkpoint: bool
+    submitted_at: float
+
+    @property
+    def evictable(self) -> bool:
+        """Whether borrowed accelerators can be taken back while the job runs."""
+        return self.idempotent or self.checkpoint
+
+    @property
+    def slot_key(self) -> SlotKey:
+        """The guarantee that the job would claim."""
+        return SlotKey(self.service, self.team, self.shape.name)
+
+
+class Event:
+    """Root of events."""
+
+
+@attrs.frozen
+class JobSubmitted(Event):
+    """A job arrived."""
+
+    job: Job
+
+
+@attrs.frozen
+class JobCancelled(Event):
+    """The caller gave a job up."""
+
+    job_id: str
+
+
+@attrs.frozen
+class GangStarted(Event):
+    """All members of a gang run."""
+
+    job_id: str
+
+
+@attrs.frozen
+class GangRejected(Event):
+    """A gang could not be leased or started; every member is released.
+
+    :param worker: the worker that refused or kept silent.
+    :param silent: whether it kept silent, so that its accelerators are unknown.
+    """
+
+    job_id: str
+    worker: str
+    silent: bool
+
+
+@attrs.frozen
+class GangReleased(Event):
+    """An evicted gang is gone from all its workers.
+
+    :param saved_s: run time kept by a checkpoint, in seconds.
+    """
+
+    job_id: str
+    saved_s: float
+
+
+@attrs.frozen
+class JobFinished(Event):
+    """A job ended with an answer.
+
+    :param run_s: the whole time it ran, in seconds.
+    """
+
+    job_id: str
+    run_s: float
+
+
+@attrs.frozen
+class JobFailed(Event):
+    """A running gang failed on a worker; all its members are released.
+
+    An idempotent job is run again elsewhere unless it has failed on several workers.
+    """
+
+    job_id: str
+    worker: str
+
+
+@attrs.frozen
+class WorkerJoined(Event):
+    """A worker is live."""
+
+    node: WorkerNode
+
+
+@attrs.frozen
+class WorkerLost(Event):
+    """A worker left, lapsed or keeps silent; its gangs end whole."""
+
+    worker: str
+
+
+@attrs.frozen
+class GuaranteesChanged(Event):
+    """The configuration in force changed."""
+
+    slots: tuple[GuaranteedSlots, ...]
+    limits: tuple[TeamLimit, ...]
+    mix: tuple[Shape, ...]
+
+
+@attrs.frozen
+class RunningGang:
+    """A gang that a new owner found on the workers."""
+
+    job: Job
+    placement: Placement
+    guaranteed: bool
+    started_at: float
+
+
+@attrs.frozen
+class GangRecovered(Event):
+    """A new owner takes over a running gang."""
+
+    gang: RunningGang
+
+
+@attrs.frozen
+class Tick(Event):
+    """Time passed."""
+
+
+class Action:
+    """Root of actions."""
+
+
+@attrs.frozen
+class StartGang(Action):
+    """Lease every member, then start all."""
+
+    job_id: str
+    placement: Placement
+    guaranteed: bool
+
+
+@attrs.frozen
+class EvictGang(Action):
+    """Checkpoint if possible, stop and release a gang, and answer with ``GangReleased``.
+
+    :param for_job: the job that needs the accelerators.
+    """
+
+    job_id: str
+    for_job: str
+    checkpoint: bool
+
+
+@attrs.frozen
+class StopGang(Action):
+    """Stop and release a gang whose job is over; no answer is awaited."""
+
+    job_id: str
+    reason: str
+
+
+@attrs.frozen
+class FailJob(Action):
+    """The job ran, at least in part, and will not be run again."""
+
+    job_id: str
+    reason: str
+
+
+@attrs.frozen
+class RefuseJob(Action):
+    """Answer the caller: not run."""
+
+    job_id: str
+    reason: str
+
+
+def block_name(adjacency: Adjacency) -> str:
+    """Return the block's name as an operator reads it."""
+    return adjacency.value.replace("_", " ")
--- /dev/null
+++ b/src/lacewingmill/scheduling/order.py
@@ -0,0 +1,37 @@
+"""The order of borrowed work: shortest expected work first, with ageing."""
+
+import attrs
+
+__all__ = ["OrderRules", "priority"]
+
+
+@attrs.frozen
+class OrderRules:
+    """How borrowed work is ordered and protected from starvation.
+
+    :param width_power: how much a gang's width counts beside its time; 0 orders by time alone.
+    :param ageing: by which factor of its expected time a job must have waited to halve its key.
+    :param shortest_ageing_s: least time that counts as such a factor, in seconds.
+    :param reserve_after: a gang that waited this multiple of its expected time gets a reservation.
+    :param reserve_least_s: and at least so long, in seconds.
+    :param learned: whether learned run times replace declared ones.
+    :param heal: whether checkpointable gangs are moved to make room for wide ones.
+    """
+
+    width_power: float = 0.5
+    ageing: float = 4.0
+    shortest_ageing_s: float = 60.0
+    reserve_after: float = 2.0
+    reserve_least_s: float = 60.0
+    learned: bool = True
+    heal: bool = True
+
+
+def priority(rules: OrderRules, expected_s: float, accelerators: int, waited_s: float) -> float:
+    """Return the key of a waiting job; the lowest goes first.
+
+    :param expected_s: expected remaining run time, in seconds.
+    """
+    work = expected_s * accelerators**rules.width_power
+    patience = max(rules.shortest_ageing_s, rules.ageing * expected_s)
+    return work / (1.0 + waited_s / patience)
--- /dev/null
+++ b/src/lacewingmill/scheduling/reclaim.py
@@ -0,0 +1,139 @@
+"""Reclaiming a guaranteed shape: the block that loses the least work.
+
+Only whole gangs are evicted. What a gang loses is its time since the last checkpoint times its
+accelerators; a gang that can checkpoint loses only the pause.
+"""
+
+import attrs
+
+from lacewingmill.models import Shape
+from lacewingmill.scheduling.cluster import Block, Cluster, Node
+from lacewingmill.scheduling.placement import PlacementRules, find_block
+from lacewingmill.scheduling.records import JobRecord, JobState
+
+__all__ = ["Reclaim", "eviction_cost", "plan_reclaim"]
+
+CHECKPOINT_LOSS_S = 5.0
+ACTIVE_STATES = (JobState.STARTING, JobState.RUNNING)
+
+
+@attrs.frozen
+class Reclaim:
+    """A block to claim and the jobs to evict from it.
+
+    :param cost: accelerator-seconds lost.
+    """
+
+    block: Block
+    victims: tuple[str, ...]
+    cost: float
+
+
+def eviction_cost(record: JobRecord, now: float) -> float:
+    """Return the accelerator-seconds that evicting a job loses."""
+    elapsed = max(0.0, now - record.started_at)
+    lost_s = CHECKPOINT_LOSS_S if record.job.checkpoint else elapsed
+    return (min(lost_s, elapsed) + 1.0) * record.job.shape.accelerators
+
+
+def plan_reclaim(
+    cluster: Cluster, shape: Shape, records: dict[str, JobRecord], now: float
+) -> Reclaim | None:
+    """Return the cheapest block for a claim, or ``None`` when hard work leaves none.
+
+    The reservation of the claiming slot itself must be lifted before.
+    """
+    chooser = _VictimChooser(shape, records, now)
+    rules = PlacementRules(
+        units=lambda node: node.hard_units(shape),
+        rank=chooser.cost,
+    )
+    block = find_block(cluster, shape, rules, by_free=False)
+    if block is None:
+        return None
+    victims: dict[str, None] = {}
+    for part in block:
+        victims.update(dict.fromkeys(chooser.choose(cluster.nodes[part.worker], part.units)))
+    cost = sum(eviction_cost(records[victim], now) for victim in victims)
+    return Reclaim(block, tuple(victims), cost)
+
+
+class _VictimChooser:
+    """Chooses evictable gangs on single workers."""
+
+    def __init__(self, shape: Shape, records: dict[str, JobRecord], now: float):
+        self._shape = shape
+        self._records = records
+        self._now = now
+
+    def cost(self, node: Node, units: int) -> float:
+        """Return the accelerator-seconds lost by freeing accelerators on a worker."""
+        return sum(self._price(victim) for victim in self.choose(node, units))
+
+    def choose(self, node: Node, units: int) -> list[str]:
+        """Return the gangs to evict so that ``units`` accelerators of the shape become free."""
+        missing = self._missing(node, units)
+        if missing.satisfied():
+            return []
+        candidates = [job_id for job_id in node.gangs if self._evictable(job_id)]
+        candidates.sort(key=lambda job_id: self._price(job_id) / len(node.gangs[job_id]))
+        chosen = []
+        for job_id in candidates:
+            if missing.satisfied():
+                break
+            missing.give(self._records[job_id].job.shape, len(node.gangs[job_id]))
+            chosen.append(job_id)
+        return self._drop_needless(node, chosen, missing)
+
+    def _drop_needless(self, node: Node, chosen: list[str], missing: "_Missing") -> list[str]:
+        """Spare gangs that turn out not to be needed, dearest first."""
+        kept = list(chosen)
+        for job_id in sorted(chosen, key=self._price, reverse=True):
+            shape, units = self._records[job_id].job.shape, len(node.gangs[job_id])
+            missing.give(shape, -units)
+            if missing.satisfied():
+                kept.remove(job_id)
+            else:
+                missing.give(shape, units)
+        return kept
+
+    def _missing(self, node: Node, units: int) -> "_Missing":
+        """Return what is missing once the gangs that are being evicted already are gone."""
+        shape, info = self._shape, node.info
+        missing = _Missing(
+            units + node.used.accelerators + node.pledged.accelerators - info.accelerators,
+            units * shape.processors
+            + node.used.processors
+            + node.pledged.processors
+            - info.processors,
+            units * shape.memory_gb + node.used.memory_gb + node.pledged.memory_gb - info.memory_gb,
+        )
+        for job_id, held in node.gangs.items():
+            record = self._records[job_id]
+            if record.state is JobState.EVICTING:
+                missing.give(record.job.shape, len(held))
+        return missing
+
+    def _evictable(self, job_id: str) -> bool:
+        record = self._records[job_id]
+        return not record.hard and record.state in ACTIVE_STATES
+
+    def _price(self, job_id: str) -> float:
+        return eviction_cost(self._records[job_id], self._now)
+
+
+@attrs.define
+class _Missing:
+    """Resources still missing on a worker; nothing is missing when all are zero or less."""
+
+    accelerators: float
+    processors: float
+    memory_gb: float
+
+    def give(self, shape: Shape, units: int) -> None:
+        self.accelerators -= units
+        self.processors -= units * shape.processors
+        self.memory_gb -= units * shape.memory_gb
+
+    def satisfied(self) -> bool:
+        return self.accelerators <= 0 and self.processors <= 1e-6 and self.memory_gb <= 1e-6
--- /dev/null
+++ b/src/lacewingmill/scheduling/suspects.py
@@ -0,0 +1,114 @@
+"""Telling bad workers from bad jobs, and quarantine with probing.
+
+A bad job fails on many workers; a bad worker fails many jobs. A failure is held against a worker
+only while its job has failed on few workers, and distinct jobs count, not attempts. A quarantined
+worker takes no jobs until a growing pause is over; then it takes one evictable job as a probe.
+"""
+
+import attrs
+
+__all__ = ["FailureBook", "Verdict"]
+
+BAD_JOB_WORKERS = 3
+BAD_WORKER_JOBS = 3
+FAILURE_WINDOW_S = 1800.0
+QUARANTINE_S = 30.0
+QUARANTINE_LONGEST_S = 3600.0
+RACK_SHARE = 0.34
+
+
+@attrs.define
+class _Record:
+    """What is known of one worker.
+
+    :param failures: time of the last failure by job, since the last success.
+    :param until: end of the quarantine, in seconds; 0 when none.
+    """
+
+    failures: dict[str, float] = attrs.field(factory=dict)
+    until: float = 0.0
+    pause_s: float = QUARANTINE_S
+    probing: bool = False
+
+
+@attrs.frozen
+class Verdict:
+    """What a failure shows."""
+
+    bad_job: bool
+    quarantine: bool
+
+
+class FailureBook:
+    """Failures by worker and job."""
+
+    def __init__(self):
+        self._workers: dict[str, _Record] = {}
+        self._jobs: dict[str, set[str]] = {}
+
+    def fail(self, job_id: str, worker: str, rack: frozenset[str], now: float) -> Verdict:
+        """Take in a failure of a job on a worker.
+
+        :param rack: the workers of its rack, whose quarantined share is bounded.
+        """
+        failed_on = self._jobs.setdefault(job_id, set())
+        failed_on.add(worker)
+        record = self._workers.setdefault(worker, _Record())
+        if len(failed_on) >= BAD_JOB_WORKERS:
+            for other in failed_on:
+                self._workers[other].failures.pop(job_id, None)
+            return Verdict(True, False)
+        record.failures[job_id] = now
+        if record.probing:
+            record.probing = False
+            record.pause_s = min(record.pause_s * 2, QUARANTINE_LONGEST_S)
+            record.until = now + record.pause_s
+            return Verdict(False, True)
+        return Verdict(False, self._quarantine(record, rack, now))
+
+    def succeed(self, job_id: str, workers: tuple[str, ...]) -> None:
+        """Take in a success: its workers are good again."""
+        self._jobs.pop(job_id, None)
+        for worker in workers:
+            self._workers.pop(worker, None)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop a job that ended without success."""
+        self._jobs.pop(job_id, None)
+
+    def failed_on(self, job_id: str) -> frozenset[str]:
+        """Return the workers on which a job has failed."""
+        return frozenset(self._jobs.get(job_id, ()))
+
+    def quarantined(self, worker: str) -> bool:
+        """Whether a worker takes no jobs for now."""
+        record = self._workers.get(worker)
+        return record is not None and record.until > 0
+
+    def due_probes(self, now: float) -> list[str]:
+        """Return quarantined workers whose pause is over, and start probing them."""
+        due = [name for name, record in self._workers.items() if 0 < record.until <= now]
+        for name in due:
+            self._workers[name].until = 0.0
+            self._workers[name].probing = True
+        return due
+
+    def probing(self, worker: str) -> bool:
+        """Whether a worker may take just one evictable job."""
+        record = self._workers.get(worker)
+        return record is not None and record.probing
+
+    def doubtful(self, worker: str) -> bool:
+        """Whether a worker has failed jobs since its last success."""
+        record = self._workers.get(worker)
+        return record is not None and bool(record.failures)
+
+    def _quarantine(self, record: _Record, rack: frozenset[str], now: float) -> bool:
+        recent = [at for at in record.failures.values() if now - at <= FAILURE_WINDOW_S]
+        if len(recent) < BAD_WORKER_JOBS:
+            return False
+        already = sum(1 for worker in rack if self.quarantined(worker))
+        if (already + 1) / max(1, len(rack)) > RACK_SHARE:
+            return False
+        record.until = now + record.pause_s
+        return True
--- /dev/null
+++ b/src/lacewingmill/settings.py
@@ -0,0 +1,110 @@
+"""Settings of one entry VM, read from a YAML file."""
+
+from pathlib import Path
+
+import attrs
+
+from lacewingmill.exceptions import SettingsError
+from lacewingmill.models import Weights
+from lacewingmill.yaml_files import parse_duration_s, read_yaml, structure_document
+
+__all__ = ["Settings", "load_settings"]
+
+WEIGHT_SUM_TOLERANCE = 0.001
+
+
+@attrs.frozen
+class _WeightsDocument:
+    completion_time: float
+    fragmentation: float
+
+
+@attrs.frozen
+class _SettingsDocument:
+    vm: str
+    failure_domain: str
+    listen: str
+    control: str
+    store: str
+    vm_list: str
+    cell: str = "main"
+    weights: _WeightsDocument = _WeightsDocument(0.5, 0.5)
+    drain: str = "5 s"
+    stop_within: str = "10 min"
+    stale_after: str = "60 s"
+
+
+@attrs.frozen
+class Settings:
+    """Checked settings.
+
+    :param listen: ``host:port`` for callers.
+    :param control: ``host:port`` for other entry VMs, operators and probes.
+    :param store: ``host:port`` of the key-value service.
+    :param vm_list: ``host:port`` of the VM list.
+    :param cell: name of the cell that this VM helps to run.
+    :param drain_s: after a stop signal, how long callers are still accepted so that the balancer
+        notices, in seconds.
+    :param stop_within_s: longest time for requests in flight at a planned stop, in seconds.
+    :param stale_after_s: cut off from store and peers for so long, the VM turns not ready.
+    """
+
+    vm: str
+    failure_domain: str
+    listen: str
+    control: str
+    store: str
+    vm_list: str
+    cell: str
+    weights: Weights
+    drain_s: float
+    stop_within_s: float
+    stale_after_s: float
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    :raises SettingsError: with one line a fault, each with file and key.
+    """
+    content, findings = read_yaml(path)
+    document = None
+    if not findings:
+        document, findings = structure_document(content, _SettingsDocument, path)
+    if document is None:
+        raise SettingsError("\n".join(findings), step="settings")
+    return _check(document, path)
+
+
+def _check(document: _SettingsDocument, path: Path) -> Settings:
+    findings = []
+    for key in ("listen", "control", "store", "vm_list"):
+        if not _is_address(getattr(document, key)):
+            findings.append(f"{path}: {key}: expected HOST:PORT, an IP number and a port")
+    weights = document.weights
+    if abs(weights.completion_time + weights.fragmentation - 1.0) > WEIGHT_SUM_TOLERANCE:
+        findings.append(f"{path}: weights: completion_time and fragmentation must sum to 1")
+    durations = {}
+    for key in ("drain", "stop_within", "stale_after"):
+        try:
+            durations[f"{key}_s"] = parse_duration_s(getattr(document, key))
+        except ValueError as exc:
+            findings.append(f"{path}: {key}: {exc}")
+    if findings:
+        raise SettingsError("\n".join(findings), step="settings")
+    return Settings(
+        vm=document.vm,
+        failure_domain=document.failure_domain,
+        listen=document.listen,
+        control=document.control,
+        store=document.store,
+        vm_list=document.vm_list,
+        cell=document.cell,
+        weights=Weights(weights.completion_time, weights.fragmentation),
+        **durations,
+    )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
--- /dev/null
+++ b/src/lacewingmill/store_keys.py
@@ -0,0 +1,22 @@
+"""Keys under which lacewingmill keeps what must last in the platform's store.
+
+Everything that VMs watch lies under one prefix, so that each VM needs one waiting watch.
+"""
+
+__all__ = [
+    "AUDIT_PREFIX",
+    "CLAIM_PREFIX",
+    "DOCUMENT_PREFIX",
+    "EPOCH_PREFIX",
+    "INDEX_KEY",
+    "LIVE_PREFIX",
+    "OWNER_PREFIX",
+]
+
+LIVE_PREFIX = "lacewingmill/live/"
+INDEX_KEY = LIVE_PREFIX + "index"
+OWNER_PREFIX = LIVE_PREFIX + "owner/"
+EPOCH_PREFIX = "lacewingmill/epoch/"
+DOCUMENT_PREFIX = "lacewingmill/documents/"
+AUDIT_PREFIX = "lacewingmill/audit/"
+CLAIM_PREFIX = "lacewingmill/claims/"
--- /dev/null
+++ b/standins/balancer.py
@@ -0,0 +1,89 @@
+"""Stand-in for the platform's balancer: spreads connections over the ready entry VMs."""
+
+import contextlib
+import socket
+
+import gevent
+import gevent.socket
+from gevent.server import StreamServer
+
+from lacewingmill.adapters.http_client import HttpCaller
+from lacewingmill.adapters.http_server import split_address
+from lacewingmill.exceptions import TransportError
+
+__all__ = ["BalancerStandin"]
+
+PROBE_INTERVAL_S = 0.5
+PROBE_TIMEOUT_S = 1.0
+BLOCK_BYTES = 65536
+
+
+class BalancerStandin:
+    """A TCP balancer with health checks.
+
+    :param backends: pairs of an entry VM's caller address and control address.
+    """
+
+    def __init__(self, address: str, backends: list[tuple[str, str]]):
+        self._backends = backends
+        self._ready: list[str] = []
+        self._next = 0
+        self._caller = HttpCaller()
+        self._server = StreamServer(split_address(address), self._relay)
+
+    def start(self) -> None:
+        """Listen and probe."""
+        self._server.start()
+        for address, control in self._backends:
+            gevent.spawn(self._probe_forever, address, control)
+
+    def _probe_forever(self, address: str, control: str) -> None:
+        while True:
+            ready = self._probe(control)
+            if ready and address not in self._ready:
+                self._ready.append(address)
+            if not ready and address in self._ready:
+                self._ready.remove(address)
+            gevent.sleep(PROBE_INTERVAL_S)
+
+    def _probe(self, control: str) -> bool:
+        try:
+            reply = self._caller.call(control, "GET", "/ready", timeout_s=PROBE_TIMEOUT_S)
+        except TransportError:
+            return False
+        return reply.status == 200
+
+    def _relay(self, sock, _address) -> None:
+        upstream = self._connect()
+        if upstream is None:
+            sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        upstream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        back = gevent.spawn(_copy, upstream, sock)
+        _copy(sock, upstream)
+        back.join()
+
+    def _connect(self):
+        for _ in range(len(self._ready)):
+            self._next += 1
+            address = self._ready[self._next % len(self._ready)]
+            try:
+                return gevent.socket.create_connection(split_address(address), timeout=1.0)
+            except OSError:
+                continue
+        return None
+
+
+def _copy(source, sink) -> None:
+    source.settimeout(None)
+    try:
+        while data := source.recv(BLOCK_BYTES):
+            sink.sendall(data)
+    except OSError:
+        pass
+    finally:
+        for sock in (source, sink):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        sink.close()
--- /dev/null
+++ b/standins/executors.py
@@ -0,0 +1,88 @@
+"""Stand-in for executors of a service, with a ledger of executions."""
+
+import hashlib
+import random
+
+import attrs
+import gevent
+import msgspec
+from gevent.lock import BoundedSemaphore
+
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest, HttpService
+from standins.faults import Faults, apply_faults
+
+__all__ = ["Answer", "ExecutorStandin", "Execution", "describe_answer", "task_seconds"]
+
+SLOTS = 8
+
+
+@attrs.frozen
+class Answer:
+    """What executors and gangs answer: enough to check that it belongs to the request."""
+
+    key: str
+    sha256: str
+    length: int
+    answered_by: str
+
+
+@attrs.frozen
+class Execution:
+    """A row of a ledger.
+
+    :param rank: which member of a gang ran; 0 for ordinary requests.
+    :param size: how many members the gang has; 1 for ordinary requests.
+    """
+
+    key: str
+    who: str
+    path: str
+    rank: int = 0
+    size: int = 1
+
+
+def describe_answer(key: str, body: bytes, who: str) -> bytes:
+    """Encode the answer to a request."""
+    return msgspec.json.encode(Answer(key, hashlib.sha256(body).hexdigest(), len(body), who))
+
+
+def task_seconds(body: bytes, default: float) -> float:
+    """Read ``run_s`` from a JSON body, in seconds."""
+    try:
+        return float(msgspec.json.decode(body).get("run_s", default))
+    except (msgspec.MsgspecError, AttributeError, TypeError, ValueError):
+        return default
+
+
+class ExecutorStandin:
+    """One executor with 8 slots.
+
+    :param run_s: time per request unless the body says otherwise, in seconds.
+    """
+
+    def __init__(self, name: str, address: str, ledger: list[Execution], run_s: float = 0.005):
+        self.faults = Faults()
+        self._name = name
+        self._ledger = ledger
+        self._run_s = run_s
+        self._slots = BoundedSemaphore(SLOTS)
+        self._rng = random.Random(name)
+        self._service = HttpService(address, self._handle)
+
+    def start(self) -> None:
+        """Listen."""
+        self._service.start()
+
+    def _handle(self, req: HttpRequest) -> HttpAnswer:
+        return apply_faults(self.faults, self._rng, self._execute, req)
+
+    def _execute(self, req: HttpRequest) -> HttpAnswer:
+        if self.faults.refuse:
+            return HttpAnswer(503, b"refused before running")
+        key = req.headers.get("idempotency-key", "")
+        with self._slots:
+            self._ledger.append(Execution(key, self._name, req.path))
+            gevent.sleep(task_seconds(req.body, self._run_s))
+        return HttpAnswer(
+            200, describe_answer(key, req.body, self._name), headers={"Idempotency-Key": key}
+        )
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,261 @@
+"""Runs a whole fleet of stand-ins and entry VMs as separate processes on loopback."""
+
+import argparse
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+import gevent
+
+from lacewingmill.adapters.clock import GeventClock
+from lacewingmill.adapters.http_client import HttpCaller
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest, HttpService
+from lacewingmill.codec import encode_json
+from lacewingmill.exceptions import TransportError
+from lacewingmill.models import Role, Vm
+from standins.balancer import BalancerStandin
+from standins.executors import Execution, ExecutorStandin
+from standins.store import StoreStandin
+from standins.vm_list import VmListStandin
+from standins.workers import WorkerStandin
+
+__all__ = ["Deployment", "Fleet", "GUILD", "WASCHPLAN"]
+
+READY_WAIT_S = 30.0
+STOP_WAIT_S = 15.0
+POLL_S = 0.1
+
+
+@attrs.frozen
+class Deployment:
+    """Sizes of one user's fleet.
+
+    :param examples: folder with its service files.
+    """
+
+    name: str
+    service: str
+    examples: str
+    processors: float
+    memory_gb: float
+    entry_vms: int = 6
+    executors: int = 24
+    workers: int = 24
+    workers_per_rack: int = 6
+    accelerators: int = 8
+
+
+WASCHPLAN = Deployment("waschplan", "booking", "examples/waschplan", 32, 128)
+GUILD = Deployment("guild", "plume-desk", "examples/guild", 128, 512)
+
+
+@attrs.frozen
+class Ports:
+    """Port numbers of a fleet, counted from a base."""
+
+    base: int
+
+    @property
+    def store(self) -> str:
+        """Address of the key-value service."""
+        return f"127.0.0.1:{self.base}"
+
+    @property
+    def vm_list(self) -> str:
+        """Address of the VM list."""
+        return f"127.0.0.1:{self.base + 1}"
+
+    @property
+    def ledgers(self) -> str:
+        """Address of the ledgers."""
+        return f"127.0.0.1:{self.base + 2}"
+
+    @property
+    def balancer(self) -> str:
+        """Address of the balancer."""
+        return f"127.0.0.1:{self.base + 3}"
+
+    def entry(self, number: int) -> str:
+        """Caller address of an entry VM."""
+        return f"127.0.0.1:{self.base + 10 + number}"
+
+    def control(self, number: int) -> str:
+        """Control address of an entry VM."""
+        return f"127.0.0.1:{self.base + 30 + number}"
+
+    def executor(self, number: int) -> str:
+        """Address of an executor."""
+        return f"127.0.0.1:{self.base + 50 + number}"
+
+    def worker(self, number: int) -> str:
+        """Address of a worker."""
+        return f"127.0.0.1:{self.base + 100 + number}"
+
+
+def list_vms(deployment: Deployment, ports: Ports) -> list[Vm]:
+    """Return all VMs of a deployment, four failure domains in turn."""
+    vms = [
+        Vm(
+            f"entry-{number}",
+            Role.ENTRY,
+            ports.entry(number),
+            f"domain-{number % 4}",
+            control=ports.control(number),
+        )
+        for number in range(deployment.entry_vms)
+    ]
+    vms.extend(
+        Vm(
+            f"executor-{number}",
+            Role.EXECUTOR,
+            ports.executor(number),
+            f"domain-{number % 4}",
+            service=deployment.service,
+        )
+        for number in range(deployment.executors)
+    )
+    vms.extend(
+        Vm(
+            f"worker-{number}",
+            Role.WORKER,
+            ports.worker(number),
+            f"domain-{number // deployment.workers_per_rack}",
+            rack=f"rack-{number // deployment.workers_per_rack}",
+            accelerators=deployment.accelerators,
+            processors=deployment.processors,
+            memory_gb=deployment.memory_gb,
+        )
+        for number in range(deployment.workers)
+    )
+    return vms
+
+
+class Fleet:
+    """The processes of a fleet: one for all stand-ins, one per entry VM."""
+
+    def __init__(self, deployment: Deployment, base_port: int, drain: str = "1 s"):
+        self.deployment = deployment
+        self.ports = Ports(base_port)
+        self.caller = HttpCaller()
+        self._drain = drain
+        self._folder = tempfile.TemporaryDirectory(prefix="lacewingmill-")
+        self._standins: subprocess.Popen | None = None
+        self.entries: dict[int, subprocess.Popen] = {}
+
+    def start(self) -> None:
+        """Start everything and wait until all entry VMs are ready."""
+        self._standins = self._spawn(
+            [
+                "-m",
+                "standins.fleet",
+                "--deployment",
+                self.deployment.name,
+                "--base-port",
+                str(self.ports.base),
+            ],
+            "standins",
+        )
+        self._wait_for(self.ports.vm_list, "/faults")
+        for number in range(self.deployment.entry_vms):
+            self.start_entry(number)
+        for number in range(self.deployment.entry_vms):
+            self._wait_for(self.ports.control(number), "/ready")
+
+    def start_entry(self, number: int) -> None:
+        """Start one entry VM."""
+        path = Path(self._folder.name) / f"entry-{number}.yaml"
+        path.write_text(
+            f"vm: entry-{number}\n"
+            f"failure_domain: domain-{number % 4}\n"
+            f"listen: {self.ports.entry(number)}\n"
+            f"control: {self.ports.control(number)}\n"
+            f"store: {self.ports.store}\n"
+            f"vm_list: {self.ports.vm_list}\n"
+            f"drain: {self._drain}\n"
+        )
+        self.entries[number] = self._spawn(
+            ["-m", "lacewingmill", "serve", "--settings", str(path)], f"entry-{number}"
+        )
+
+    def publish(self, directory: str, *more: str) -> subprocess.CompletedProcess:
+        """Publish service files by the command line."""
+        command = [sys.executable, "-m", "lacewingmill", "publish", directory]
+        command += ["--to", self.ports.control(0), "--by", "demo", *more]
+        return subprocess.run(command, capture_output=True, text=True, check=False)
+
+    def fault(self, address: str, switches: dict) -> None:
+        """Set fault switches of the stand-in at an address."""
+        self.caller.call(address, "POST", "/faults", body=encode_json(switches), timeout_s=5.0)
+
+    def log(self, name: str) -> str:
+        """Return what a process has written."""
+        return (Path(self._folder.name) / f"{name}.log").read_text()
+
+    def stop(self) -> None:
+        """Stop all processes that this fleet started."""
+        processes = [*self.entries.values()]
+        if self._standins is not None:
+            processes.append(self._standins)
+        for process in processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in processes:
+            process.wait(STOP_WAIT_S)
+        self._folder.cleanup()
+
+    def _spawn(self, arguments: list[str], name: str) -> subprocess.Popen:
+        log = (Path(self._folder.name) / f"{name}.log").open("a")
+        return subprocess.Popen(
+            [sys.executable, *arguments], stdout=log, stderr=log, stdin=subprocess.DEVNULL
+        )
+
+    def _wait_for(self, address: str, path: str) -> None:
+        for _ in range(int(READY_WAIT_S / POLL_S)):
+            try:
+                if self.caller.call(address, "GET", path, timeout_s=1.0).status == 200:
+                    return
+            except TransportError:
+                pass
+            gevent.sleep(POLL_S)
+        raise TimeoutError(f"{address}{path} did not become ready")
+
+
+def run_standins(deployment: Deployment, base_port: int) -> None:
+    """Run all stand-ins of a deployment in this process."""
+    ports = Ports(base_port)
+    clock = GeventClock()
+    vms = list_vms(deployment, ports)
+    ledger: list[Execution] = []
+    StoreStandin(ports.store, clock).start()
+    VmListStandin(ports.vm_list, vms).start()
+    for vm in vms:
+        if vm.role is Role.EXECUTOR:
+            ExecutorStandin(vm.name, vm.address, ledger).start()
+        elif vm.role is Role.WORKER:
+            WorkerStandin(vm, clock, ledger).start()
+    backends = [(vm.address, vm.control) for vm in vms if vm.role is Role.ENTRY]
+    BalancerStandin(ports.balancer, backends).start()
+
+    def show_ledgers(_: HttpRequest) -> HttpAnswer:
+        return HttpAnswer(200, encode_json(ledger))
+
+    HttpService(ports.ledgers, show_ledgers).start()
+    gevent.get_hub().join()
+
+
+def main() -> None:
+    """Run stand-ins from the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--deployment", choices=("waschplan", "guild"), required=True)
+    parser.add_argument("--base-port", type=int, required=True)
+    args = parser.parse_args()
+    run_standins({"waschplan": WASCHPLAN, "guild": GUILD}[args.deployment], args.base_port)
+
+
+if __name__ == "__main__":
+    gevent.config.resolver = "block"
+    main()
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,211 @@
+"""Stand-in for the platform's key-value service."""
+
+import random
+from urllib.parse import unquote
+
+import attrs
+import gevent
+from gevent.event import Event
+
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest, HttpService
+from lacewingmill.codec import encode, encode_json
+from lacewingmill.ports import StoreEntry, WatchAnswer
+from standins.faults import Faults, apply_faults, query_value
+
+__all__ = ["StoreStandin", "StoreTable"]
+
+MAX_VALUE_BYTES = 1024 * 1024
+LEASE_SWEEP_S = 0.1
+
+
+@attrs.define
+class StoreCounts:
+    """Calls received, by kind."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    waiting: int = 0
+
+
+class StoreTable:
+    """Keys, revisions and leases; no I/O, time is passed in."""
+
+    def __init__(self):
+        self.revision = 0
+        self._entries: dict[str, StoreEntry] = {}
+        self._changed: dict[str, int] = {}
+        self._lease_keys: dict[str, set[str]] = {}
+        self._lease_ends: dict[str, float] = {}
+        self._lease_ttls: dict[str, float] = {}
+        self._granted = 0
+
+    def get(self, key: str) -> StoreEntry | None:
+        """Return the entry or ``None``."""
+        return self._entries.get(key)
+
+    def current(self, key: str) -> int:
+        """Return the key's revision, 0 when it is absent."""
+        entry = self._entries.get(key)
+        return entry.revision if entry else 0
+
+    def put(self, key: str, value: bytes, lease: str) -> int:
+        """Write unconditionally and return the new revision."""
+        self.revision += 1
+        self._entries[key] = StoreEntry(key, value, self.revision)
+        self._changed[key] = self.revision
+        for keys in self._lease_keys.values():
+            keys.discard(key)
+        if lease:
+            self._lease_keys[lease].add(key)
+        return self.revision
+
+    def delete(self, key: str) -> int:
+        """Delete unconditionally and return the new revision."""
+        self.revision += 1
+        self._entries.pop(key, None)
+        self._changed[key] = self.revision
+        return self.revision
+
+    def entries(self, prefix: str) -> list[StoreEntry]:
+        """Return the entries under a prefix, sorted by key."""
+        return [self._entries[key] for key in sorted(self._entries) if key.startswith(prefix)]
+
+    def changed_after(self, prefix: str, revision: int) -> tuple[str, ...]:
+        """Return the keys under a prefix that changed after a revision."""
+        return tuple(
+            key
+            for key, changed in self._changed.items()
+            if changed > revision and key.startswith(prefix)
+        )
+
+    def grant(self, ttl_s: float, now: float) -> str:
+        """Return the id of a new lease."""
+        self._granted += 1
+        lease = f"lease-{self._granted}"
+        self._lease_keys[lease] = set()
+        self._lease_ttls[lease] = ttl_s
+        self._lease_ends[lease] = now + ttl_s
+        return lease
+
+    def has_lease(self, lease: str) -> bool:
+        """Whether the lease is live."""
+        return lease in self._lease_ends
+
+    def renew(self, lease: str, now: float) -> bool:
+        """Renew a live lease."""
+        if lease not in self._lease_ends:
+            return False
+        self._lease_ends[lease] = now + self._lease_ttls[lease]
+        return True
+
+    def expire(self, now: float) -> bool:
+        """Drop lapsed leases with their keys; return whether any key went."""
+        lapsed = [lease for lease, end in self._lease_ends.items() if end <= now]
+        dropped = False
+        for lease in lapsed:
+            del self._lease_ends[lease]
+            for key in self._lease_keys.pop(lease):
+                self.delete(key)
+                dropped = True
+        return dropped
+
+
+class StoreStandin:
+    """The service around a table.
+
+    :param clock: a :class:`lacewingmill.ports.Clock`.
+    """
+
+    def __init__(self, address: str, clock, seed: int = 0):
+        self.faults = Faults()
+        self.counts = StoreCounts()
+        self._table = StoreTable()
+        self._clock = clock
+        self._rng = random.Random(seed)
+        self._changed = Event()
+        self._service = HttpService(address, self._handle)
+
+    def start(self) -> None:
+        """Listen and sweep leases."""
+        self._service.start()
+        gevent.spawn(self._sweep)
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(LEASE_SWEEP_S)
+            if self._table.expire(self._clock.now()):
+                self._wake()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    def _handle(self, req: HttpRequest) -> HttpAnswer:
+        if req.path == "/stats":
+            return HttpAnswer(200, encode_json(self.counts))
+        return apply_faults(self.faults, self._rng, self._dispatch, req)
+
+    def _dispatch(self, req: HttpRequest) -> HttpAnswer:
+        if req.path.startswith("/kv/"):
+            return self._handle_key(req, unquote(req.path[len("/kv/") :]))
+        if req.path == "/list":
+            self.counts.reads += 1
+            return HttpAnswer(200, encode(self._table.entries(query_value(req, "prefix"))))
+        if req.path == "/watch":
+            return self._handle_watch(req)
+        if req.path.startswith("/lease"):
+            return self._handle_lease(req)
+        return HttpAnswer(404)
+
+    def _handle_key(self, req: HttpRequest, key: str) -> HttpAnswer:
+        if req.method == "GET":
+            self.counts.reads += 1
+            entry = self._table.get(key)
+            if entry is None:
+                return HttpAnswer(404)
+            return HttpAnswer(200, entry.value, headers={"Revision": str(entry.revision)})
+        self.counts.writes += 1
+        return self._handle_write(req, key)
+
+    def _handle_write(self, req: HttpRequest, key: str) -> HttpAnswer:
+        if len(req.body) > MAX_VALUE_BYTES:
+            return HttpAnswer(413)
+        current = self._table.current(key)
+        if current != int(query_value(req, "expected", "0")):
+            return HttpAnswer(409, headers={"Revision": str(current)})
+        lease = query_value(req, "lease")
+        if lease and not self._table.has_lease(lease):
+            return HttpAnswer(410, b"lease has lapsed")
+        if req.method == "DELETE":
+            revision = self._table.delete(key)
+        else:
+            revision = self._table.put(key, req.body, lease)
+        self._wake()
+        return HttpAnswer(200, headers={"Revision": str(revision)})
+
+    def _handle_lease(self, req: HttpRequest) -> HttpAnswer:
+        self.counts.writes += 1
+        now = self._clock.now()
+        if req.path == "/lease":
+            return HttpAnswer(
+                200, self._table.grant(float(query_value(req, "ttl_s", "10")), now).encode()
+            )
+        lease = req.path.rpartition("/")[2]
+        return HttpAnswer(200 if self._table.renew(lease, now) else 410)
+
+    def _handle_watch(self, req: HttpRequest) -> HttpAnswer:
+        self.counts.watches += 1
+        prefix = query_value(req, "prefix")
+        after = int(query_value(req, "after", "0"))
+        end = self._clock.now() + float(query_value(req, "wait_s", "0"))
+        self.counts.waiting += 1
+        try:
+            while not (keys := self._table.changed_after(prefix, after)):
+                left = end - self._clock.now()
+                if left <= 0 or self.faults.down:
+                    break
+                self._changed.wait(left)
+        finally:
+            self.counts.waiting -= 1
+        return HttpAnswer(200, encode(WatchAnswer(self._table.revision, keys)))
--- /dev/null
+++ b/standins/workers.py
@@ -0,0 +1,270 @@
+"""Stand-in for workers: lease tables with fences, tasks, checkpoints and delayed reports."""
+
+import random
+
+import attrs
+import gevent
+from gevent.event import Event
+
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest, HttpService
+from lacewingmill.adapters.targets import STATUS_CONFLICT, STATUS_FENCED, ReleaseOrder, SyncOrder
+from lacewingmill.codec import decode, encode
+from lacewingmill.models import Fence, Vm
+from lacewingmill.ports import (
+    LeaseOrder,
+    LeaseState,
+    ReleaseAnswer,
+    StartOrder,
+    SyncAnswer,
+    WorkerLease,
+)
+from standins.executors import Execution, describe_answer, task_seconds
+from standins.faults import Faults, apply_faults
+
+__all__ = ["LeaseTable", "LeaseConflict", "WorkerStandin"]
+
+SWEEP_S = 0.1
+TOMBSTONE_S = 600.0
+ACTIVE = (LeaseState.LEASED, LeaseState.RUNNING)
+
+
+class LeaseConflict(Exception):
+    """The order cannot be followed; the message says why."""
+
+
+class FenceLow(Exception):
+    """The order carries a lower fence than one already accepted."""
+
+
+@attrs.define
+class LeaseRow:
+    """A lease and what became of it.
+
+    :param expires: time at which the lease lapses unless renewed, in seconds.
+    :param closed: time at which it ended, in seconds; 0 while active.
+    """
+
+    order: LeaseOrder
+    expires: float
+    state: str = LeaseState.LEASED
+    executed: bool = False
+    started: float = 0.0
+    run_s: float = 0.0
+    start: StartOrder | None = None
+    result: bytes = b""
+    reason: str = ""
+    closed: float = 0.0
+
+
+class LeaseTable:
+    """A worker's own lease table: the ground truth about its accelerators; time is passed in."""
+
+    def __init__(self, worker: Vm):
+        self.worker = worker
+        self.fence = Fence()
+        self.version = 0
+        self.rows: dict[str, LeaseRow] = {}
+        self._released: set[str] = set()
+
+    def accept_fence(self, fence: Fence) -> None:
+        """Remember the highest fence.
+
+        :raises FenceLow: when a higher one was accepted before.
+        """
+        if fence < self.fence:
+            raise FenceLow()
+        self.fence = fence
+
+    def lease(self, order: LeaseOrder, now: float) -> None:
+        """Lease accelerators to a gang; repeating an order is harmless.
+
+        :raises FenceLow: under a lower fence.
+        :raises LeaseConflict: when the accelerators or other resources are held.
+        """
+        self.accept_fence(order.fence)
+        if order.gang in self.rows:
+            return
+        if order.gang in self._released:
+            raise LeaseConflict("gang was released before its lease arrived")
+        active = [row for row in self.rows.values() if row.state in ACTIVE]
+        held = {index for row in active for index in row.order.accelerators}
+        if held & set(order.accelerators):
+            raise LeaseConflict("accelerator is leased to another gang")
+        cores = sum(row.order.processors for row in active) + order.processors
+        memory = sum(row.order.memory_gb for row in active) + order.memory_gb
+        if cores > self.worker.processors + 1e-6 or memory > self.worker.memory_gb + 1e-6:
+            raise LeaseConflict("processors or memory are leased to other gangs")
+        self.rows[order.gang] = LeaseRow(order, now + order.ttl_s)
+        self.version += 1
+
+    def start(self, order: StartOrder, run_s: float, now: float) -> None:
+        """Start a leased member; repeating an order is harmless.
+
+        :raises FenceLow: under a lower fence.
+        :raises LeaseConflict: without an active lease.
+        """
+        self.accept_fence(order.fence)
+        row = self.rows.get(order.gang)
+        if row is None or row.state not in ACTIVE:
+            raise LeaseConflict("no active lease for this gang")
+        if row.state == LeaseState.RUNNING:
+            return
+        row.state = LeaseState.RUNNING
+        row.executed = True
+        row.started = now
+        row.run_s = run_s
+        row.start = order
+        self.version += 1
+
+    def release(self, order: ReleaseOrder, now: float) -> ReleaseAnswer:
+        """Stop a member and free its accelerators; a later lease of the gang is refused.
+
+        :raises FenceLow: under a lower fence.
+        """
+        self.accept_fence(order.fence)
+        self._released.add(order.gang)
+        row = self.rows.get(order.gang)
+        if row is None:
+            return ReleaseAnswer(False, "")
+        if row.state in ACTIVE:
+            self.close(row, LeaseState.STOPPED, now, reason="released")
+        return ReleaseAnswer(row.executed, row.state, row.result)
+
+    def renew(self, gangs: tuple[str, ...], now: float) -> tuple[str, ...]:
+        """Renew the active leases among ``gangs`` and return them."""
+        renewed = []
+        for gang in gangs:
+            row = self.rows.get(gang)
+            if row is not None and row.state in ACTIVE:
+                row.expires = now + row.order.ttl_s
+                renewed.append(gang)
+        return tuple(renewed)
+
+    def close(self, row: LeaseRow, state: str, now: float, reason: str = "") -> None:
+        """End a row."""
+        row.state = state
+        row.reason = reason
+        row.closed = now
+        self.version += 1
+
+    def sweep(self, now: float, fail_tasks: bool) -> list[LeaseRow]:
+        """End lapsed leases and finished tasks; return the rows that finished."""
+        finished = []
+        for gang, row in list(self.rows.items()):
+            if row.state in ACTIVE and row.expires <= now:
+                self.close(row, LeaseState.STOPPED, now, reason="lease lapsed")
+            elif row.state == LeaseState.RUNNING and fail_tasks:
+                self.close(row, LeaseState.FAILED, now, reason="task failed")
+            elif row.state == LeaseState.RUNNING and row.started + row.run_s <= now:
+                self.close(row, LeaseState.DONE, now)
+                finished.append(row)
+            elif row.closed and row.closed + TOMBSTONE_S <= now:
+                del self.rows[gang]
+        return finished
+
+    def report(self) -> tuple[WorkerLease, ...]:
+        """Return the whole table."""
+        return tuple(
+            WorkerLease(
+                gang,
+                row.order.fence,
+                row.order.accelerators,
+                row.state,
+                row.executed,
+                row.order.spec,
+                row.order.members,
+                row.result,
+                row.reason,
+            )
+            for gang, row in self.rows.items()
+        )
+
+
+class WorkerStandin:
+    """One worker around its lease table.
+
+    :param ledger: executions of gangs, appended at rank 0.
+    """
+
+    def __init__(self, vm: Vm, clock, ledger: list[Execution], run_s: float = 0.2):
+        self.faults = Faults()
+        self.table = LeaseTable(vm)
+        self._clock = clock
+        self._ledger = ledger
+        self._run_s = run_s
+        self._rng = random.Random(vm.name)
+        self._changed = Event()
+        self._service = HttpService(vm.address, self._handle)
+
+    def start(self) -> None:
+        """Listen and run tasks."""
+        self._service.start()
+        gevent.spawn(self._sweep)
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(SWEEP_S)
+            before = self.table.version
+            for row in self.table.sweep(self._clock.now(), self.faults.fail_tasks):
+                if row.start.rank == 0:
+                    row.result = describe_answer(
+                        row.start.key, row.start.body, self.table.worker.name
+                    )
+            if self.table.version != before:
+                self._wake()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    def _handle(self, req: HttpRequest) -> HttpAnswer:
+        return apply_faults(self.faults, self._rng, self._dispatch, req)
+
+    def _dispatch(self, req: HttpRequest) -> HttpAnswer:
+        before = self.table.version
+        try:
+            return self._order(req)
+        except FenceLow:
+            return HttpAnswer(STATUS_FENCED)
+        except LeaseConflict as exc:
+            return HttpAnswer(STATUS_CONFLICT, str(exc).encode())
+        finally:
+            if self.table.version != before:
+                self._wake()
+
+    def _order(self, req: HttpRequest) -> HttpAnswer:
+        now = self._clock.now()
+        if self.faults.refuse and req.path in ("/lease", "/start"):
+            return HttpAnswer(500, b"worker refuses everything")
+        if req.path == "/lease":
+            self.table.lease(decode(req.body, LeaseOrder), now)
+            return HttpAnswer()
+        if req.path == "/start":
+            self._start(decode(req.body, StartOrder), now)
+            return HttpAnswer()
+        if req.path == "/release":
+            return HttpAnswer(200, encode(self.table.release(decode(req.body, ReleaseOrder), now)))
+        if req.path == "/sync":
+            return HttpAnswer(200, encode(self._sync(decode(req.body, SyncOrder))))
+        return HttpAnswer(404)
+
+    def _start(self, order: StartOrder, now: float) -> None:
+        row = self.table.rows.get(order.gang)
+        ran_before = row is not None and row.executed
+        run_s = max(0.0, task_seconds(order.body, self._run_s) - order.done_s)
+        self.table.start(order, run_s, now)
+        if ran_before or order.done_s:
+            return
+        members = self.table.rows[order.gang].order.members
+        self._ledger.append(
+            Execution(order.key, self.table.worker.name, order.gang, order.rank, len(members))
+        )
+
+    def _sync(self, order: SyncOrder) -> SyncAnswer:
+        self.table.accept_fence(order.fence)
+        renewed = self.table.renew(order.renew, self._clock.now())
+        if self.table.version == order.after and order.wait_s:
+            self._changed.wait(order.wait_s)
+        if self.table.version == order.after:
+            return SyncAnswer(self.table.version, renewed, False)
+        return SyncAnswer(self.table.version, renewed, True, self.table.report())
--- /dev/null
+++ b/tests/fleet_calls.py
@@ -0,0 +1,43 @@
+"""Calls of callers against a fleet, checked against what stand-ins answer."""
+
+import hashlib
+
+import msgspec
+
+from lacewingmill.adapters.http_client import HttpReply
+from standins.executors import Answer, Execution
+
+TIMEOUT_S = 60.0
+
+
+def send(fleet, path, team, body, key="", deadline_s=30.0, address="", **headers) -> HttpReply:
+    fields = {
+        "Content-Type": "application/json",
+        "Lacewingmill-Team": team,
+        "Lacewingmill-Deadline": str(deadline_s),
+        **headers,
+    }
+    if key:
+        fields["Idempotency-Key"] = key
+    return fleet.caller.call(
+        address or fleet.ports.balancer,
+        "POST",
+        path,
+        body=body,
+        headers=fields,
+        timeout_s=TIMEOUT_S,
+    )
+
+
+def assert_own_answer(reply: HttpReply, body: bytes, key: str) -> Answer:
+    assert reply.status == 200, reply.body
+    answer = msgspec.json.decode(reply.body, type=Answer)
+    assert answer.key == key
+    assert answer.sha256 == hashlib.sha256(body).hexdigest()
+    assert answer.length == len(body)
+    return answer
+
+
+def read_ledger(fleet) -> list[Execution]:
+    reply = fleet.caller.call(fleet.ports.ledgers, "GET", "/", timeout_s=TIMEOUT_S)
+    return msgspec.json.decode(reply.body, type=list[Execution])
