--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,39 @@
+"""Prints one JSON object a line for each run asked for."""
+
+import argparse
+import sys
+
+import attrs
+import msgspec
+
+from bench.measure import POLICIES, measure_run
+from bench.workload import DEPLOYMENTS, SCENARIOS
+
+
+def main() -> int:
+    """Run the bench from the command line."""
+    parser = argparse.ArgumentParser(prog="bench", description="Measures scheduling policies.")
+    parser.add_argument("--deployment", choices=(*DEPLOYMENTS, "all"), default="all")
+    parser.add_argument("--scenario", choices=(*SCENARIOS, "all"), default="all")
+    parser.add_argument("--policy", choices=(*POLICIES, "all"), default="all")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true", help="accepted for programs; the default")
+    parser.add_argument("--no-wall", action="store_true", help="leave wall-clock fields out")
+    args = parser.parse_args()
+    for deployment in _chosen(args.deployment, tuple(DEPLOYMENTS)):
+        for scenario in _chosen(args.scenario, SCENARIOS):
+            for policy in _chosen(args.policy, POLICIES):
+                measured, _ = measure_run(deployment, scenario, policy, args.seed)
+                fields = attrs.asdict(measured)
+                if args.no_wall:
+                    del fields["decision_p99_us"]
+                print(msgspec.json.encode(fields).decode(), flush=True)
+    return 0
+
+
+def _chosen(name: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    return names if name == "all" else (name,)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,217 @@
+"""Plain policies to compare with: both ignore guarantees and never evict."""
+
+from functools import singledispatchmethod
+
+from lacewingmill.models import Shape
+from lacewingmill.scheduling.cluster import Block, Cluster, Node
+from lacewingmill.scheduling.messages import (
+    Action,
+    Event,
+    EvictGang,
+    FailJob,
+    GangRejected,
+    GangReleased,
+    GangStarted,
+    GuaranteesChanged,
+    JobCancelled,
+    JobFailed,
+    JobFinished,
+    JobSubmitted,
+    RefuseJob,
+    StartGang,
+    StopGang,
+    WorkerJoined,
+    WorkerLost,
+    WorkerSilent,
+)
+from lacewingmill.scheduling.placement import PlacementRules, find_block
+from lacewingmill.scheduling.records import JobRecord, JobState
+from lacewingmill.scheduling.reservation import Reservation, plan_reservation
+from lacewingmill.scheduling.runtimes import RunTimes
+
+__all__ = ["BestFitBackfill", "FirstFit"]
+
+
+class _Baseline:
+    """A queue in arrival order over the same cluster model as the scheduler's."""
+
+    def __init__(self):
+        self.cluster = Cluster()
+        self.mix: tuple[Shape, ...] = ()
+        self.records: dict[str, JobRecord] = {}
+        self.queue: dict[str, JobRecord] = {}
+        self.declared = RunTimes()
+        self.failed_on: dict[str, set[str]] = {}
+        self._actions: list[Action] = []
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in an event and return what to do."""
+        self._apply(event)
+        self.place(now)
+        actions, self._actions = self._actions, []
+        return actions
+
+    def place(self, now: float) -> None:
+        """Start what may start now."""
+        raise NotImplementedError
+
+    def start(self, record: JobRecord, block: Block, now: float) -> None:
+        """Start a job on a block."""
+        job = record.job
+        del self.queue[job.job_id]
+        record.placement = self.cluster.allocate(job.job_id, job.shape, block)
+        record.state = JobState.RUNNING
+        record.started_at = now
+        self._actions.append(StartGang(job.job_id, record.placement, False))
+
+    @singledispatchmethod
+    def _apply(self, event: Event) -> None:
+        """Events that tell a baseline nothing."""
+
+    @_apply.register
+    def _(self, event: JobSubmitted) -> None:
+        if not self.cluster.fits_empty(event.job.shape):
+            self._actions.append(RefuseJob(event.job.job_id, "no block is large enough"))
+            return
+        record = JobRecord(event.job)
+        self.records[event.job.job_id] = self.queue[event.job.job_id] = record
+
+    @_apply.register
+    def _(self, event: JobCancelled) -> None:
+        record = self.records.get(event.job_id)
+        if record is None:
+            return
+        if record.state is JobState.RUNNING:
+            self._actions.append(StopGang(event.job_id, "cancelled"))
+        self._drop(event.job_id)
+
+    @_apply.register
+    def _(self, event: GangStarted) -> None:
+        return
+
+    @_apply.register
+    def _(self, event: GangRejected) -> None:
+        self._requeue(event.job_id)
+
+    @_apply.register
+    def _(self, event: GangReleased) -> None:
+        self._requeue(event.job_id)
+
+    @_apply.register
+    def _(self, event: JobFinished) -> None:
+        self._drop(event.job_id)
+
+    @_apply.register
+    def _(self, event: JobFailed) -> None:
+        self.failed_on.setdefault(event.job_id, set()).add(event.worker)
+        if self.records[event.job_id].job.idempotent:
+            self._requeue(event.job_id)
+            return
+        self._drop(event.job_id)
+        self._actions.append(FailJob(event.job_id, "failed"))
+
+    @_apply.register
+    def _(self, event: WorkerJoined) -> None:
+        self.cluster.add(event.node)
+
+    @_apply.register
+    def _(self, event: WorkerSilent) -> None:
+        if event.worker in self.cluster.nodes:
+            self.cluster.close(event.worker)
+
+    @_apply.register
+    def _(self, event: WorkerLost) -> None:
+        node = self.cluster.nodes.get(event.worker)
+        if node is None:
+            return
+        for job_id in list(node.gangs):
+            record = self.records[job_id]
+            self.cluster.release(job_id, record.job.shape, (event.worker,))
+            if record.job.idempotent:
+                self._actions.append(EvictGang(job_id, "", checkpoint=False))
+            else:
+                self._drop(job_id)
+                self._actions.append(FailJob(job_id, "worker lost"))
+        self.cluster.remove(event.worker)
+
+    @_apply.register
+    def _(self, event: GuaranteesChanged) -> None:
+        self.mix = event.mix
+
+    def units(self, record: JobRecord, node: Node) -> int:
+        """Return what a worker can give a job; a job does not go back to where it failed."""
+        if node.info.worker in self.failed_on.get(record.job.job_id, ()):
+            return 0
+        return node.free_units(record.job.shape)
+
+    def _release(self, record: JobRecord) -> None:
+        self.cluster.release(record.job.job_id, record.job.shape, record.workers)
+        record.placement = ()
+
+    def _requeue(self, job_id: str) -> None:
+        record = self.records.get(job_id)
+        if record is None:
+            return
+        self._release(record)
+        record.state = JobState.QUEUED
+        self.queue[job_id] = record
+
+    def _drop(self, job_id: str) -> None:
+        record = self.records.pop(job_id, None)
+        self.queue.pop(job_id, None)
+        if record is not None:
+            self._release(record)
+
+
+class FirstFit(_Baseline):
+    """Arrival order; the head of the queue blocks all others; the first block that fits."""
+
+    def place(self, now: float) -> None:
+        """Start the head of the queue as long as it fits."""
+        while self.queue:
+            record = min(self.queue.values(), key=_arrival)
+            shape = record.job.shape
+            order = {name: number for number, name in enumerate(self.cluster.nodes)}
+            rules = PlacementRules(
+                lambda node, r=record: self.units(r, node),
+                lambda node, units, o=order: float(o[node.info.worker]),
+            )
+            block = find_block(self.cluster, shape, rules)
+            if block is None:
+                return
+            self.start(record, block, now)
+
+
+class BestFitBackfill(_Baseline):
+    """Arrival order with backfill by declared times; the tightest block that fits."""
+
+    def place(self, now: float) -> None:
+        """Start in arrival order; later jobs may pass the head if they do not delay it."""
+        reservation: Reservation | None = None
+        for record in sorted(self.queue.values(), key=_arrival):
+            block = self._find(record, reservation, now)
+            if block is not None:
+                self.start(record, block, now)
+            elif reservation is None:
+                reservation = plan_reservation(
+                    self.cluster, record.job, self.records, self.declared, now
+                )
+
+    def _find(self, record: JobRecord, reservation: Reservation | None, now: float):
+        shape = record.job.shape
+        end = now + shape.expected_s
+
+        def units(node: Node) -> int:
+            held_off = (
+                reservation is not None
+                and node.info.worker in reservation.workers
+                and end > reservation.start_at
+            )
+            return 0 if held_off else self.units(record, node)
+
+        rules = PlacementRules(units, lambda node, taken: float(len(node.free) - taken))
+        return find_block(self.cluster, shape, rules)
+
+
+def _arrival(record: JobRecord) -> tuple[float, str]:
+    return (record.job.submitted_at, record.job.job_id)
--- /dev/null
+++ b/bench/table.py
@@ -0,0 +1,132 @@
+"""Prints the bench as a table and plots completion time against fragmentation."""
+
+import argparse
+import sys
+from multiprocessing import Pool
+from pathlib import Path
+
+import attrs
+import numpy as np
+
+from bench.measure import POLICIES, Checks, Measured, measure_run, weigh
+from bench.workload import DEPLOYMENTS, SCENARIOS
+from lacewingmill.models import Weights
+
+OUT = Path("bench/out")
+PROCESSES = 4
+SENSITIVITY = (0.1, 0.3, 0.5, 0.7, 0.9)
+
+
+@attrs.frozen
+class Case:
+    """One run to make."""
+
+    deployment: str
+    scenario: str
+    policy: str
+    seed: int
+
+
+def run_case(case: Case) -> tuple[Measured, Checks]:
+    """Make one run."""
+    return measure_run(case.deployment, case.scenario, case.policy, case.seed)
+
+
+def main() -> int:
+    """Run all policies over all scenarios and several seeds."""
+    parser = argparse.ArgumentParser(prog="bench.table")
+    parser.add_argument("--seeds", type=int, default=2, help="number of seeds, from 1")
+    args = parser.parse_args()
+    cases = [
+        Case(deployment, scenario, policy, seed)
+        for deployment in DEPLOYMENTS
+        for scenario in SCENARIOS
+        for policy in POLICIES
+        for seed in range(1, args.seeds + 1)
+    ]
+    with Pool(PROCESSES) as pool:
+        results = pool.map(run_case, cases, chunksize=1)
+    groups: dict[tuple[str, str, str], list[tuple[Measured, Checks]]] = {}
+    for measured, checks in results:
+        key = (measured.deployment, measured.scenario, measured.policy)
+        groups.setdefault(key, []).append((measured, checks))
+    _print_table(groups)
+    _print_sensitivity(groups)
+    _plot(groups)
+    return 0
+
+
+def _median(runs: list[tuple[Measured, Checks]], read) -> float:
+    return float(np.median([read(measured) for measured, _ in runs]))
+
+
+def _ratio(measured: Measured) -> float:
+    return measured.mean_completion_s / measured.relaxation_mean_s
+
+
+def _print_table(groups) -> None:
+    print(
+        f"{'deployment':11}{'scenario':20}{'policy':19}{'completion':>11}{'spread':>8}"
+        f"{'fragment.':>10}{'score':>8}{'claim p99':>11}{'late':>6}{'partial':>8}{'twice':>6}"
+    )
+    for (deployment, scenario, policy), runs in groups.items():
+        ratios = [_ratio(measured) for measured, _ in runs]
+        print(
+            f"{deployment:11}{scenario:20}{policy:19}{np.median(ratios):11.3f}"
+            f"{max(ratios) - min(ratios):8.3f}"
+            f"{_median(runs, lambda m: m.fragmentation):10.3f}"
+            f"{_median(runs, lambda m: m.weighted_score):8.3f}"
+            f"{max(m.claim_start_p99_s for m, _ in runs):11.1f}"
+            f"{sum(c.late_claims for _, c in runs):6}"
+            f"{sum(c.partial_gangs for _, c in runs):8}"
+            f"{sum(c.second_runs for _, c in runs):6}"
+        )
+
+
+def _print_sensitivity(groups) -> None:
+    print("\nscenarios in which a baseline scores better, by the weight of completion time")
+    for deployment in DEPLOYMENTS:
+        counts = []
+        for weight in SENSITIVITY:
+            weights = Weights(weight, 1.0 - weight)
+            behind = sum(
+                _score(groups[deployment, scenario, "default"], weights)
+                > min(
+                    _score(groups[deployment, scenario, policy], weights) for policy in POLICIES[1:]
+                )
+                for scenario in SCENARIOS
+            )
+            counts.append(f"{weight:g}: {behind}")
+        print(f"  {deployment:11}{', '.join(counts)} of {len(SCENARIOS)}")
+
+
+def _score(runs, weights: Weights) -> float:
+    return _median(runs, lambda m: weigh(weights, _ratio(m), m.fragmentation))
+
+
+def _plot(groups) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    OUT.mkdir(parents=True, exist_ok=True)
+    figure, axes = pyplot.subplots(1, len(DEPLOYMENTS), figsize=(12, 5))
+    for axis, deployment in zip(axes, DEPLOYMENTS, strict=True):
+        for policy in POLICIES:
+            chosen = [groups[deployment, scenario, policy] for scenario in SCENARIOS]
+            axis.scatter(
+                [_median(runs, _ratio) for runs in chosen],
+                [_median(runs, lambda m: m.fragmentation) for runs in chosen],
+                label=policy,
+            )
+        axis.set_title(deployment)
+        axis.set_xlabel("mean completion time over the relaxation's")
+        axis.set_ylabel("fragmentation")
+        axis.legend()
+    figure.savefig(OUT / "policies.png")
+    print(f"\nplot: {OUT / 'policies.png'}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/lacewingmill/adapters/targets.py
+++ b/src/lacewingmill/adapters/targets.py
@@ -26,7 +26,7 @@
 __all__ = ["HttpExecutors", "HttpVmList", "HttpWorkers", "ReleaseOrder", "SyncOrder"]
 
 LIST_TIMEOUT_S = 2.0
-SYNC_MARGIN_S = 1.5
+SYNC_MARGIN_S = 0.7
 STATUS_CONFLICT = 409
 STATUS_FENCED = 410
 
--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -38,9 +38,11 @@
     StartGang,
     StopGang,
     Tick,
+    WorkerAnswered,
     WorkerJoined,
     WorkerLost,
     WorkerNode,
+    WorkerSilent,
 )
 from lacewingmill.scheduling.scheduler import Scheduler
 
@@ -218,6 +220,14 @@
         )
         self._feed(WorkerJoined(node))
 
+    def worker_silent(self, worker: str) -> None:
+        """A worker did not answer in time."""
+        self._feed(WorkerSilent(worker))
+
+    def worker_answered(self, worker: str) -> None:
+        """A worker that was silent answers again."""
+        self._feed(WorkerAnswered(worker))
+
     def worker_lost(self, worker: str) -> None:
         """A worker keeps silent or has left."""
         self._log.emit(LogEvent.WORKER_LOST, worker=worker)
@@ -307,6 +317,8 @@
             self._close_unknown(work, UNKNOWN_START, "start", failure.worker)
             self._feed(JobCancelled(job.job_id))
             return
+        if failure.silent:
+            self._feed(WorkerSilent(failure.worker))
         if failure.worker:
             self._feed(GangRejected(job.job_id, failure.worker, failure.silent))
 
--- a/src/lacewingmill/cells/worker_watch.py
+++ b/src/lacewingmill/cells/worker_watch.py
@@ -31,6 +31,12 @@
     def worker_joined(self, vm: Vm) -> None:
         """A worker's lease table is known."""
 
+    def worker_silent(self, worker: str) -> None:
+        """A worker did not answer in time; it may be lost soon."""
+
+    def worker_answered(self, worker: str) -> None:
+        """A worker that was silent answers again."""
+
     def worker_lost(self, worker: str) -> None:
         """A worker keeps silent or has left."""
 
@@ -97,6 +103,7 @@
 
     def _follow(self, vm: Vm) -> None:
         version = -1
+        silent = False
         heard_at = self._clock.now()
         while not self._stopped:
             sent_at = self._clock.now()
@@ -106,11 +113,17 @@
                 self._listener.fenced()
                 return
             except TransportError:
+                silent = True
                 if self._clock.now() - heard_at > SILENT_AFTER_S:
                     version = -1
                     self._lose(vm)
+                elif vm.name in self._live:
+                    self._listener.worker_silent(vm.name)
                 self._clock.sleep(SYNC_RETRY_S)
                 continue
+            if silent:
+                silent = False
+                self._listener.worker_answered(vm.name)
             heard_at = self._clock.now()
             version = answer.version
             self._listener.worker_acked(vm.name, answer.renewed, sent_at)
--- a/src/lacewingmill/scheduling/cluster.py
+++ b/src/lacewingmill/scheduling/cluster.py
@@ -105,6 +105,16 @@
         self.total_accelerators = 0
         self.free_accelerators = 0
         self._by_free: dict[int, dict[str, Node]] = {}
+        self._rack_free: dict[str, int] = {}
+        self._domain_free: dict[str, int] = {}
+
+    def rack_free(self, node: Node) -> int:
+        """Return the free accelerators of a worker's rack."""
+        return self._rack_free[node.info.rack]
+
+    def domain_free(self, node: Node) -> int:
+        """Return the free accelerators of a worker's failure domain."""
+        return self._domain_free[node.info.failure_domain]
 
     def add(self, info: WorkerNode) -> Node:
         """Add a live worker."""
@@ -114,7 +124,7 @@
         self.failure_domains.setdefault(info.failure_domain, {})[info.worker] = node
         self._by_free.setdefault(len(node.free), {})[info.worker] = node
         self.total_accelerators += info.accelerators
-        self.free_accelerators += info.accelerators
+        self._count_free(node, info.accelerators)
         return node
 
     def remove(self, worker: str) -> None:
@@ -130,7 +140,7 @@
                 del group[name]
         self.closed.discard(worker)
         self.total_accelerators -= node.info.accelerators
-        self.free_accelerators -= len(node.free)
+        self._count_free(node, -len(node.free))
 
     def close(self, worker: str) -> None:
         """Take a worker out of placement; its gangs run on."""
@@ -201,6 +211,13 @@
     def _set_free(self, node: Node, free: list[int]) -> None:
         name = node.info.worker
         del self._by_free[len(node.free)][name]
-        self.free_accelerators += len(free) - len(node.free)
+        self._count_free(node, len(free) - len(node.free))
         node.free = free
         self._by_free.setdefault(len(free), {})[name] = node
+
+    def _count_free(self, node: Node, change: int) -> None:
+        info = node.info
+        self.free_accelerators += change
+        self._rack_free[info.rack] = self._rack_free.get(info.rack, 0) + change
+        domain = info.failure_domain
+        self._domain_free[domain] = self._domain_free.get(domain, 0) + change
--- a/src/lacewingmill/scheduling/healing.py
+++ b/src/lacewingmill/scheduling/healing.py
@@ -1,16 +1,22 @@
 """Moving checkpointable borrowed gangs so that a wide gang finds adjacent accelerators."""
 
+from collections.abc import Callable
+
 import attrs
 
 from lacewingmill.models import Adjacency
 from lacewingmill.scheduling.cluster import Cluster, Node
+from lacewingmill.scheduling.placement import PackingValue
 from lacewingmill.scheduling.records import JobRecord, JobState
 
-__all__ = ["Move", "plan_moves"]
+__all__ = ["Move", "plan_compaction", "plan_moves"]
 
 MOVES_AT_ONCE = 2
 MOVE_LOSS_S = 10.0
 GAIN_FACTOR = 2.0
+COMPACTION_LEAST_GAIN = 1.0
+COMPACTION_LEAST_S = 60.0
+COMPACTION_WORKERS = 128
 
 
 @attrs.frozen
@@ -76,6 +82,61 @@
     return Move(node.info.worker, tuple(chosen), MOVE_LOSS_S * moved_units)
 
 
+def plan_compaction(
+    cluster: Cluster,
+    packing: PackingValue,
+    records: dict[str, JobRecord],
+    remaining_s: Callable[[JobRecord, float], float],
+    now: float,
+) -> Move | None:
+    """Return one gang whose move to a fuller worker makes most accelerators usable for gangs.
+
+    The gain is the accelerators that shapes can use more, held for the time that the gang still
+    runs; the loss is the pause of the gang.
+
+    :param remaining_s: returns how long a job is expected to run still, in seconds.
+    """
+    best: Move | None = None
+    best_gain = 0.0
+    sources = [node for node in cluster.nodes.values() if node.gangs and node.free]
+    for node in sources[:COMPACTION_WORKERS]:
+        for job_id, held in node.gangs.items():
+            record = records[job_id]
+            if not _movable(record):
+                continue
+            left_s = remaining_s(record, now)
+            target = _tightest_other(cluster, packing, node, record)
+            if target is None or left_s < COMPACTION_LEAST_S:
+                continue
+            gain = packing.gain(node, len(held)) - packing.loss(target, len(held))
+            if gain < COMPACTION_LEAST_GAIN or gain <= best_gain:
+                continue
+            loss = MOVE_LOSS_S * len(held)
+            if gain * left_s > loss * GAIN_FACTOR:
+                best, best_gain = Move(node.info.worker, (job_id,), loss), gain
+    return best
+
+
+def _tightest_other(
+    cluster: Cluster, packing: PackingValue, node: Node, record: JobRecord
+) -> Node | None:
+    """Return the worker that loses least by taking a gang, one from each group of equal ones."""
+    shape = record.job.shape
+    best: Node | None = None
+    best_loss = float("inf")
+    for nodes in cluster.nodes_by_free(shape.accelerators):
+        for other in nodes.values():
+            if other is node or not cluster.usable(other):
+                continue
+            if other.free_units(shape) < shape.accelerators:
+                continue
+            loss = packing.loss(other, shape.accelerators)
+            if loss < best_loss:
+                best, best_loss = other, loss
+            break
+    return best
+
+
 def _movable(record: JobRecord) -> bool:
     return (
         record.state is JobState.RUNNING
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -32,9 +32,11 @@
     "StopGang",
     "TeamLimit",
     "Tick",
+    "WorkerAnswered",
     "WorkerJoined",
     "WorkerLost",
     "WorkerNode",
+    "WorkerSilent",
 ]
 
 
@@ -196,6 +198,20 @@
     node: WorkerNode
 
 
+@attrs.frozen
+class WorkerSilent(Event):
+    """A worker did not answer an order in time; it gets nothing new until it answers."""
+
+    worker: str
+
+
+@attrs.frozen
+class WorkerAnswered(Event):
+    """A worker answers again."""
+
+    worker: str
+
+
 @attrs.frozen
 class WorkerLost(Event):
     """A worker left, lapsed or keeps silent; its gangs end whole."""
--- a/src/lacewingmill/scheduling/placement.py
+++ b/src/lacewingmill/scheduling/placement.py
@@ -1,8 +1,8 @@
 """Where a gang goes: blocks that hold it, ranked by what they leave for others.
 
 The measure is the expected fragmentation over the shapes that the deployment is configured with
-(after "Beware of Fragmentation", ATC 2023, adapted to adjacency): on a worker with ``f`` free
-accelerators, a shape that needs chunks of ``c`` cannot use ``f mod c`` of them.
+(after "Beware of Fragmentation", ATC 2023, adapted to adjacency): a block with ``f`` free
+accelerators holds ``f // size`` gangs of a shape; what that leaves over the shape cannot use.
 """
 
 from collections.abc import Callable, Iterable
@@ -12,34 +12,48 @@
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, Node, Part
 
-__all__ = ["FragmentationTable", "PlacementRules", "find_block", "stranded_share"]
+__all__ = ["PackingValue", "PlacementRules", "find_block", "stranded_share"]
 
 CANDIDATES_PER_GROUP = 32
 UNRESERVED_BONUS = 0.5
 
 
-class FragmentationTable:
-    """Accelerators that the configured shapes cannot use, by free accelerators of a worker.
+class PackingValue:
+    """Accelerators that gangs of the configured shapes can still use, and what a placement takes.
 
     :param mix: the configured shapes, equally weighted.
     """
 
-    def __init__(self, mix: tuple[Shape, ...]):
-        self._mix = mix
-        self._rows: dict[int, list[float]] = {}
-
-    def stranded(self, capacity: int, free: int) -> float:
-        """Return the expected number of free accelerators that a shape cannot use."""
-        row = self._rows.get(capacity)
-        if row is None:
-            row = self._rows[capacity] = self._make_row(capacity)
-        return row[free]
-
-    def _make_row(self, capacity: int) -> list[float]:
-        if not self._mix:
-            return [0.0] * (capacity + 1)
-        chunks = [min(shape.accelerators, capacity) for shape in self._mix]
-        return [sum(free % chunk for chunk in chunks) / len(chunks) for free in range(capacity + 1)]
+    def __init__(self, cluster: Cluster, mix: tuple[Shape, ...]):
+        self._cluster = cluster
+        self._shapes = max(1, len(mix))
+        self._worker_sizes = _sizes(mix, Adjacency.WORKER)
+        self._rack_sizes = _sizes(mix, Adjacency.RACK)
+        self._domain_sizes = _sizes(mix, Adjacency.FAILURE_DOMAIN)
+
+    def loss(self, node: Node, units: int) -> float:
+        """Return how many usable accelerators a shape loses on average by taking free ones."""
+        return self._change(node, 0, -units)
+
+    def gain(self, node: Node, units: int) -> float:
+        """Return how many usable accelerators a shape wins on average by freeing held ones."""
+        return self._change(node, units, 0)
+
+    def _change(self, node: Node, freed: int, taken: int) -> float:
+        free = len(node.free)
+        rack, domain = self._cluster.rack_free(node), self._cluster.domain_free(node)
+        total = _packable_change(self._worker_sizes, free + freed, free + taken)
+        total += _packable_change(self._rack_sizes, rack + freed, rack + taken)
+        total += _packable_change(self._domain_sizes, domain + freed, domain + taken)
+        return total / self._shapes
+
+
+def _sizes(mix: tuple[Shape, ...], adjacency: Adjacency) -> tuple[int, ...]:
+    return tuple(shape.accelerators for shape in mix if shape.adjacency is adjacency)
+
+
+def _packable_change(sizes: tuple[int, ...], more: int, less: int) -> int:
+    return sum((more // size - less // size) * size for size in sizes)
 
 
 @attrs.define
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -8,7 +8,7 @@
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, Node
 from lacewingmill.scheduling.guarantees import Slot, SlotBook
-from lacewingmill.scheduling.healing import plan_moves
+from lacewingmill.scheduling.healing import Move, plan_compaction, plan_moves
 from lacewingmill.scheduling.messages import (
     Action,
     Event,
@@ -28,12 +28,14 @@
     StartGang,
     StopGang,
     Tick,
+    WorkerAnswered,
     WorkerJoined,
     WorkerLost,
+    WorkerSilent,
     block_name,
 )
 from lacewingmill.scheduling.order import OrderRules, priority
-from lacewingmill.scheduling.placement import FragmentationTable, PlacementRules, find_block
+from lacewingmill.scheduling.placement import PackingValue, PlacementRules, find_block
 from lacewingmill.scheduling.reclaim import plan_reclaim
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.reservation import Reservation, plan_reservation
@@ -64,13 +66,14 @@
         self.mix: tuple[Shape, ...] = ()
         self._rules = rules or OrderRules()
         self._fragmentation_weight = fragmentation_weight
-        self._table = FragmentationTable(())
+        self._packing = PackingValue(self.cluster, ())
         self._limits: dict[tuple[str, str], int] = {}
         self._held: dict[tuple[str, str], int] = {}
         self._queue: dict[str, JobRecord] = {}
         self._pending: dict[str, JobRecord] = {}
         self._reservation: Reservation | None = None
         self._moving: dict[str, str] = {}
+        self._silent: set[str] = set()
         self._actions: list[Action] = []
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -83,6 +86,8 @@
         self._start_pending(now)
         self._place_claims(now)
         self._place_borrowed(now)
+        if self._rules.heal:
+            self._heal(now)
         actions, self._actions = self._actions, []
         return actions
 
@@ -196,9 +201,26 @@
             self._lose_gang(self.records[job_id], event.worker, now)
         self.book.leave(event.worker)
         self.cluster.remove(event.worker)
+        self._silent.discard(event.worker)
         self.book.home_all()
         self._reservation = None
 
+    @_apply.register
+    def _(self, event: WorkerSilent, now: float) -> None:
+        if event.worker not in self.cluster.nodes or event.worker in self._silent:
+            return
+        self._silent.add(event.worker)
+        self._close_worker(event.worker, now)
+
+    @_apply.register
+    def _(self, event: WorkerAnswered, now: float) -> None:
+        if event.worker not in self._silent:
+            return
+        self._silent.discard(event.worker)
+        if not self.failures.quarantined(event.worker):
+            self.cluster.open(event.worker)
+            self.book.home_all()
+
     @_apply.register
     def _(self, event: GuaranteesChanged, now: float) -> None:
         self._limits = {
@@ -207,7 +229,7 @@
             if limit.max_accelerators
         }
         self.mix = event.mix
-        self._table = FragmentationTable(event.mix)
+        self._packing = PackingValue(self.cluster, event.mix)
         self.book.configure(event.slots)
         self._reservation = None
 
@@ -253,17 +275,22 @@
         rack = frozenset(self.cluster.racks.get(node.info.rack, ()))
         verdict = self.failures.fail(record.job.job_id, worker, rack, now)
         if verdict.quarantine:
-            self.cluster.close(worker)
-            self.book.leave(worker)
-            self.book.home_all()
-            self._drop_pending_on(worker, now)
-            self._reservation = None
+            self._close_worker(worker, now)
         return verdict.bad_job
 
+    def _close_worker(self, worker: str, now: float) -> None:
+        """Give a worker nothing new, and move reservations and pending claims off it."""
+        self.cluster.close(worker)
+        self.book.leave(worker)
+        self.book.home_all()
+        self._drop_pending_on(worker, now)
+        self._reservation = None
+
     def _open_probes(self, now: float) -> None:
         for worker in self.failures.due_probes(now):
-            self.cluster.open(worker)
-            self.book.home_all()
+            if worker in self.cluster.nodes and worker not in self._silent:
+                self.cluster.open(worker)
+                self.book.home_all()
 
     def _start_pending(self, now: float) -> None:
         """Start the claims whose victims are gone."""
@@ -358,8 +385,6 @@
                 continue
             del self._queue[record.job.job_id]
             self._start(record, block, now)
-        if self._rules.heal and self._queue:
-            self._heal(now)
 
     def _priority(self, record: JobRecord, now: float) -> tuple[float, float, str]:
         job = record.job
@@ -414,14 +439,11 @@
         return None
 
     def _rank(self, node: Node, units: int) -> float:
-        """Cost of a placement: stranded accelerators first, then reserved ones, then tightness."""
-        free = len(node.free)
-        capacity = node.info.accelerators
-        stranded = self._table.stranded(capacity, free - units) - self._table.stranded(
-            capacity, free
-        )
-        beyond = max(0, node.reserved.accelerators - (free - units))
-        rank = stranded + BEYOND_RESERVED_RANK * beyond + TIGHTNESS_RANK * (free - units)
+        """Cost of a placement: what gangs can no longer use, reserved blocks, tightness."""
+        left = len(node.free) - units
+        beyond = max(0, node.reserved.accelerators - left)
+        rank = self._packing.loss(node, units)
+        rank += BEYOND_RESERVED_RANK * beyond + TIGHTNESS_RANK * left
         if self.failures.doubtful(node.info.worker):
             rank += DOUBTFUL_RANK
         return rank
@@ -460,22 +482,35 @@
         return self._reservation is not None and self._reservation.job_id == record.job.job_id
 
     def _heal(self, now: float) -> None:
+        """Move a few checkpointable gangs, for a wide gang that starves or for whole blocks."""
         if self._moving:
             return
         starving = [record for record in self._queue.values() if self._starves(record, now)]
-        if not starving:
-            return
-        oldest = min(starving, key=lambda record: record.job.submitted_at)
-        wait_s = now - oldest.job.submitted_at
-        move = plan_moves(self.cluster, oldest, self.records, wait_s)
+        if starving:
+            oldest = min(starving, key=lambda record: record.job.submitted_at)
+            wait_s = now - oldest.job.submitted_at
+            self._move(plan_moves(self.cluster, oldest, self.records, wait_s), oldest, now)
+        if not self._moving:
+            move = plan_compaction(
+                self.cluster, self._packing, self.records, self._remaining_s, now
+            )
+            self._move(move, None, now)
+
+    def _move(self, move: Move | None, waiting: JobRecord | None, now: float) -> None:
         if move is None:
             return
-        self._reservation = Reservation(
-            oldest.job.job_id, frozenset({move.worker}), now + self._rules.reserve_least_s
-        )
+        for_job = waiting.job.job_id if waiting is not None else ""
+        if waiting is not None:
+            until = now + self._rules.reserve_least_s
+            self._reservation = Reservation(for_job, frozenset({move.worker}), until)
         for job_id in move.jobs:
-            self._moving[job_id] = oldest.job.job_id
-            self._evict(self.records[job_id], oldest.job.job_id, now)
+            self._moving[job_id] = for_job
+            self._evict(self.records[job_id], for_job or "a whole block", now)
+
+    def _remaining_s(self, record: JobRecord, now: float) -> float:
+        job = record.job
+        elapsed = now - record.started_at + record.done_s
+        return self.run_times.remaining(job.service, job.shape.name, job.shape.expected_s, elapsed)
 
     def _start(self, record: JobRecord, block: Block, now: float) -> None:
         job = record.job
