--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,6 +1,7 @@
 """Random mixes of failures against real processes under load; ledgers are checked at the end."""
 
 import argparse
+import collections
 import contextlib
 import random
 import signal
@@ -124,6 +125,7 @@
 
     :param wrong: answers that were not the caller's own.
     :param longest_gap_s: longest time without an answered call.
+    :param reasons: why calls were not answered, each with its count.
     :param recovery_s: from the end of the failures until all VMs were ready and one owned the cell.
     """
 
@@ -137,6 +139,7 @@
     verdict: LedgerVerdict
     longest_gap_s: float
     recovery_s: float
+    reasons: tuple[str, ...]
 
     @property
     def broken(self) -> bool:
@@ -171,9 +174,20 @@
         judge_ledger(load.calls, read_ledger(fleet)),
         load.longest_gap_s(),
         recovery_s,
+        _reasons(load),
     )
 
 
+def _reasons(load: Load) -> tuple[str, ...]:
+    """Return each distinct detail of a call that was not answered, with its path."""
+    details = collections.Counter(
+        f"{call.outcome.value}: {call.kind.path}: {call.detail.replace(call.key, 'KEY')}"
+        for call in load.calls
+        if call.outcome is not CallOutcome.ANSWERED
+    )
+    return tuple(f"{count} x {detail}" for detail, count in details.most_common())
+
+
 def choose_faults(seed: int, rounds: int) -> tuple[str, ...]:
     """Return a random mix: every other round brings two failures together."""
     rng = random.Random(seed)
@@ -217,7 +231,10 @@
     finally:
         fleet.stop()
     for name, value in attrs.asdict(report, recurse=False).items():
-        print(f"{name:15} {value}")
+        if name != "reasons":
+            print(f"{name:15} {value}")
+    for reason in report.reasons:
+        print(f"  {reason}")
     return 1 if report.broken else 0
 
 
--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -228,10 +228,10 @@
         """A worker that was silent answers again."""
         self._feed(WorkerAnswered(worker))
 
-    def worker_lost(self, worker: str) -> None:
-        """A worker keeps silent or has left."""
-        self._log.emit(LogEvent.WORKER_LOST, worker=worker)
-        self._feed(WorkerLost(worker))
+    def worker_lost(self, worker: str, *, left: bool) -> None:
+        """A worker keeps silent, or has left for good."""
+        self._log.emit(LogEvent.WORKER_LOST, worker=worker, left=left)
+        self._feed(WorkerLost(worker, left))
 
     def fenced(self) -> None:
         """A worker has accepted a higher fence."""
--- a/src/lacewingmill/cells/elector.py
+++ b/src/lacewingmill/cells/elector.py
@@ -119,7 +119,11 @@
 
     def run(self) -> None:
         """Decide and act for ever."""
+        stepped_at = self._clock.now()
         while True:
+            if self._clock.now() - stepped_at > OWNER_LEASE_S:
+                self._reread()  # this process was paused, and another may own the cell by now
+            stepped_at = self._clock.now()
             self._step()
             self._clock.sleep(STEP_S)
 
--- a/src/lacewingmill/cells/recovery.py
+++ b/src/lacewingmill/cells/recovery.py
@@ -20,7 +20,6 @@
 
 __all__ = ["RecoveredCell", "recover_cell"]
 
-RECOVERY_WAIT_S = 2.0
 RELEASE_TIMEOUT_S = 1.0
 RECOVERED_DEADLINE_S = 24 * 3600.0
 
@@ -77,7 +76,7 @@
         gevent.spawn(_release, driver, workers, by_name[worker], gang_id)
         for gang_id, worker in broken
     ]
-    gevent.joinall(calls, timeout=RECOVERY_WAIT_S)
+    gevent.joinall(calls)
 
 
 def _release(driver: CellDriver, workers: WorkerPort, vm: Vm, gang_id: str) -> None:
@@ -91,15 +90,13 @@
     driver: CellDriver, workers: WorkerPort, vms: tuple[Vm, ...]
 ) -> dict[str, tuple[WorkerLease, ...]]:
     calls = {vm.name: gevent.spawn(_read_table, driver, workers, vm) for vm in vms}
-    gevent.joinall(calls.values(), timeout=RECOVERY_WAIT_S)
+    gevent.joinall(calls.values())
     tables = {}
     for name, call in calls.items():
         if isinstance(call.value, FenceRejected):
             raise call.value
         if call.value is not None:
             tables[name] = call.value
-        elif not call.dead:
-            call.kill(block=False)
     return tables
 
 
--- a/src/lacewingmill/cells/worker_watch.py
+++ b/src/lacewingmill/cells/worker_watch.py
@@ -13,6 +13,7 @@
 SYNC_WAIT_S = 1.0
 SYNC_RETRY_S = 0.5
 SILENT_AFTER_S = 3.0
+OWN_PAUSE_S = 1.5
 RELEASE_TIMEOUT_S = 1.0
 
 
@@ -37,8 +38,8 @@
     def worker_answered(self, worker: str) -> None:
         """A worker that was silent answers again."""
 
-    def worker_lost(self, worker: str) -> None:
-        """A worker keeps silent or has left."""
+    def worker_lost(self, worker: str, *, left: bool) -> None:
+        """A worker keeps silent, or has left for good."""
 
     def fenced(self) -> None:
         """A worker has accepted a higher fence."""
@@ -98,8 +99,8 @@
     def _drop(self, name: str) -> None:
         del self._known[name]
         self._loops.pop(name).kill(block=False)
-        if self._live.pop(name, None) is not None:
-            self._listener.worker_lost(name)
+        self._live.pop(name, None)
+        self._listener.worker_lost(name, left=True)
 
     def _follow(self, vm: Vm) -> None:
         version = -1
@@ -113,6 +114,10 @@
                 self._listener.fenced()
                 return
             except TransportError:
+                if self._clock.now() - sent_at > SYNC_WAIT_S + OWN_PAUSE_S:
+                    # No call takes so long: this process was paused, and the answer may have come.
+                    heard_at = self._clock.now()
+                    continue
                 silent = True
                 if self._clock.now() - heard_at > SILENT_AFTER_S:
                     version = -1
@@ -159,4 +164,4 @@
 
     def _lose(self, vm: Vm) -> None:
         if self._live.pop(vm.name, None) is not None:
-            self._listener.worker_lost(vm.name)
+            self._listener.worker_lost(vm.name, left=False)
--- a/src/lacewingmill/scheduling/cluster.py
+++ b/src/lacewingmill/scheduling/cluster.py
@@ -105,6 +105,7 @@
         self.total_accelerators = 0
         self.free_accelerators = 0
         self._by_free: dict[int, dict[str, Node]] = {}
+        self._known: dict[str, WorkerNode] = {}
         self._rack_free: dict[str, int] = {}
         self._domain_free: dict[str, int] = {}
 
@@ -118,6 +119,7 @@
 
     def add(self, info: WorkerNode) -> Node:
         """Add a live worker."""
+        self.known(info)
         node = Node(info, list(range(info.accelerators)))
         self.nodes[info.worker] = node
         self.racks.setdefault(info.rack, {})[info.worker] = node
@@ -197,16 +199,28 @@
             return self.racks
         return self.failure_domains
 
+    def known(self, info: WorkerNode) -> None:
+        """Remember a worker's size as long as it may come back."""
+        self._known[info.worker] = info
+
+    def forget(self, worker: str) -> None:
+        """Forget a worker that has left for good."""
+        self._known.pop(worker, None)
+
     def fits_empty(self, shape: Shape) -> bool:
-        """Whether any block of the live workers could hold a shape if it were empty."""
-        if shape.adjacency is Adjacency.WORKER:
-            return any(
-                node.capacity_units(shape) >= shape.accelerators for node in self.nodes.values()
-            )
-        return any(
-            sum(node.capacity_units(shape) for node in group.values()) >= shape.accelerators
-            for group in self.groups(shape.adjacency).values()
-        )
+        """Whether any block could hold a shape if it were empty.
+
+        Workers that are silent for now count, because they may come back; with no worker known at
+        all nothing is ruled out.
+        """
+        if not self._known:
+            return True
+        room: dict[str, int] = {}
+        for info in self._known.values():
+            group = _group_name(info, shape.adjacency)
+            units = Node(info, []).capacity_units(shape)
+            room[group] = room.get(group, 0) + units
+        return any(units >= shape.accelerators for units in room.values())
 
     def _set_free(self, node: Node, free: list[int]) -> None:
         name = node.info.worker
@@ -221,3 +235,12 @@
         self._rack_free[info.rack] = self._rack_free.get(info.rack, 0) + change
         domain = info.failure_domain
         self._domain_free[domain] = self._domain_free.get(domain, 0) + change
+
+
+def _group_name(info: WorkerNode, adjacency: Adjacency) -> str:
+    names = {
+        Adjacency.WORKER: info.worker,
+        Adjacency.RACK: info.rack,
+        Adjacency.FAILURE_DOMAIN: info.failure_domain,
+    }
+    return names[adjacency]
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -214,9 +214,13 @@
 
 @attrs.frozen
 class WorkerLost(Event):
-    """A worker left, lapsed or keeps silent; its gangs end whole."""
+    """A worker left, lapsed or keeps silent; its gangs end whole.
+
+    :param left: whether it has left for good, so that nothing may wait for it.
+    """
 
     worker: str
+    left: bool = False
 
 
 @attrs.frozen
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -194,6 +194,8 @@
     @_apply.register
     def _(self, event: WorkerLost, now: float) -> None:
         node = self.cluster.nodes.get(event.worker)
+        if event.left:
+            self.cluster.forget(event.worker)
         if node is None:
             return
         self._drop_pending_on(event.worker, now)
@@ -263,7 +265,7 @@
         if not self.cluster.fits_empty(shape):
             return (
                 f"shape {shape.name} needs {shape.accelerators} accelerators in one "
-                f"{block_name(shape.adjacency)}, more than any live one has"
+                f"{block_name(shape.adjacency)}, more than any has"
             )
         return ""
 
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,236 @@
+"""In-process fakes at the ports, on a clock that tests pause and advance."""
+
+import heapq
+import itertools
+
+import gevent
+from gevent.event import Event
+
+from lacewingmill.adapters.targets import ReleaseOrder
+from lacewingmill.exceptions import (
+    CallTimeout,
+    ConnectFailed,
+    FenceRejected,
+    JobRefused,
+    StoreConflict,
+    StoreUnavailable,
+)
+from lacewingmill.models import Role, Vm
+from lacewingmill.ports import ApplicationAnswer, SyncAnswer, WatchAnswer
+from standins.store import StoreTable
+from standins.workers import FenceLow, LeaseConflict, LeaseTable
+
+SETTLE_TURNS = 30
+
+
+class VirtualClock:
+    """Time that stands still until a test advances it."""
+
+    def __init__(self):
+        self.time = 1000.0
+        self._order = itertools.count()
+        self._sleepers = []
+
+    def now(self):
+        return self.time
+
+    def wall(self):
+        return self.time
+
+    def sleep(self, seconds):
+        woken = Event()
+        heapq.heappush(self._sleepers, (self.time + seconds, next(self._order), woken))
+        woken.wait()
+
+    def settle(self):
+        for _ in range(SETTLE_TURNS):
+            gevent.sleep(0)
+
+    def advance(self, seconds):
+        """Let time pass, waking sleepers in order."""
+        end = self.time + seconds
+        self.settle()
+        while self._sleepers and self._sleepers[0][0] <= end:
+            at, _, woken = heapq.heappop(self._sleepers)
+            self.time = max(self.time, at)
+            woken.set()
+            self.settle()
+        self.time = end
+        self.settle()
+
+    def jump(self, seconds):
+        """Let time pass while this process is paused: everything due wakes late, at once."""
+        self.time += seconds
+        while self._sleepers and self._sleepers[0][0] <= self.time:
+            heapq.heappop(self._sleepers)[2].set()
+        self.settle()
+
+
+def make_workers(count=6, accelerators=8, per_rack=3):
+    return tuple(
+        Vm(
+            f"w{number}",
+            Role.WORKER,
+            f"127.0.0.1:{number + 1}",
+            f"d{number // per_rack}",
+            rack=f"r{number // per_rack}",
+            accelerators=accelerators,
+            processors=32,
+            memory_gb=128,
+        )
+        for number in range(count)
+    )
+
+
+class FakeWorkers:
+    """Worker port over lease tables in this process.
+
+    ``silent`` workers never answer; ``executions`` counts starts of rank 0 by key.
+    """
+
+    def __init__(self, clock, vms, run_s=5.0):
+        self.tables = {vm.name: LeaseTable(vm) for vm in vms}
+        self.silent = set()
+        self.lose_answers_of = set()
+        self.executions = {}
+        self.started = []
+        self._clock = clock
+        self._run_s = run_s
+        gevent.spawn(self._sweep)
+
+    def _sweep(self):
+        while True:
+            self._clock.sleep(0.1)
+            for table in self.tables.values():
+                for row in table.sweep(self._clock.now(), False):
+                    row.result = b"answer to " + row.start.key.encode()
+
+    def _call(self, worker, timeout_s, call):
+        if worker.name in self.silent:
+            self._clock.sleep(timeout_s)
+            raise CallTimeout("no answer", step="order", peer=worker.name)
+        try:
+            answer = call(self.tables[worker.name])
+        except FenceLow as exc:
+            raise FenceRejected("a higher fence", peer=worker.name) from exc
+        except LeaseConflict as exc:
+            raise JobRefused(str(exc), peer=worker.name) from exc
+        if worker.name in self.lose_answers_of:
+            self._clock.sleep(timeout_s)
+            raise CallTimeout("answer lost", step="order", peer=worker.name)
+        return answer
+
+    def lease(self, worker, order, *, timeout_s):
+        self._call(worker, timeout_s, lambda t: t.lease(order, self._clock.now()))
+
+    def start(self, worker, order, *, timeout_s):
+        def begin(table):
+            row = table.rows.get(order.gang)
+            before = row is not None and row.executed
+            table.start(order, self._run_s - order.done_s, self._clock.now())
+            if not before and order.rank == 0 and not order.done_s:
+                self.executions[order.key] = self.executions.get(order.key, 0) + 1
+            self.started.append((order.gang, worker.name))
+
+        self._call(worker, timeout_s, begin)
+
+    def release(self, worker, gang, fence, *, checkpoint, timeout_s):
+        order = ReleaseOrder(gang, fence, checkpoint)
+        return self._call(worker, timeout_s, lambda t: t.release(order, self._clock.now()))
+
+    def sync(self, worker, fence, renew, *, after, wait_s):
+        def read(table):
+            table.accept_fence(fence)
+            return table.renew(renew, self._clock.now())
+
+        renewed = self._call(worker, wait_s + 0.7, read)
+        table = self.tables[worker.name]
+        end = self._clock.now() + wait_s
+        while table.version == after and self._clock.now() < end:
+            self._clock.sleep(0.1)
+        if worker.name in self.silent:
+            return self._call(worker, 0.7, read)
+        if table.version == after:
+            return SyncAnswer(table.version, renewed, False)
+        return SyncAnswer(table.version, renewed, True, table.report())
+
+
+class FakeStore:
+    """Store port over a table in this process, with an outage switch and lost answers."""
+
+    def __init__(self, clock):
+        self.table = StoreTable()
+        self.down = False
+        self.lose_writes = 0
+        self.calls = 0
+        self._clock = clock
+
+    def _enter(self):
+        self.calls += 1
+        self.table.expire(self._clock.now())
+        if self.down:
+            raise StoreUnavailable("down", step="call", peer="store")
+
+    def _written(self):
+        if self.lose_writes:
+            self.lose_writes -= 1
+            raise StoreUnavailable("answer lost", step="call", peer="store")
+
+    def get(self, key):
+        self._enter()
+        return self.table.get(key)
+
+    def put(self, key, value, *, expected, lease=""):
+        self._enter()
+        current = self.table.current(key)
+        if current != expected:
+            raise StoreConflict("another revision", current=current)
+        if lease and not self.table.has_lease(lease):
+            raise StoreUnavailable("lease has lapsed", step="put", peer="store")
+        revision = self.table.put(key, value, lease)
+        self._written()
+        return revision
+
+    def delete(self, key, *, expected):
+        self._enter()
+        if self.table.current(key) != expected:
+            raise StoreConflict("another revision", current=self.table.current(key))
+        self.table.delete(key)
+        self._written()
+
+    def list(self, prefix):
+        self._enter()
+        return self.table.entries(prefix)
+
+    def grant_lease(self, ttl_s):
+        self._enter()
+        return self.table.grant(ttl_s, self._clock.now())
+
+    def renew_lease(self, lease):
+        self._enter()
+        return self.table.renew(lease, self._clock.now())
+
+    def watch(self, prefix, *, after, wait_s):
+        self._enter()
+        return WatchAnswer(self.table.revision, self.table.changed_after(prefix, after))
+
+
+class FakeExecutors:
+    """Executor port: named executors are silent or unreachable, the others answer."""
+
+    def __init__(self, clock, run_s=0.01):
+        self.silent = set()
+        self.unreachable = set()
+        self.executions = {}
+        self._clock = clock
+        self._run_s = run_s
+
+    def send(self, target, method, path, body, content_type, key, *, timeout_s):
+        if target.name in self.unreachable:
+            raise ConnectFailed("refused", step="connect", peer=target.name)
+        self.executions[key] = self.executions.get(key, 0) + 1
+        if target.name in self.silent:
+            self._clock.sleep(timeout_s)
+            raise CallTimeout("no answer", step="send", peer=target.name)
+        self._clock.sleep(self._run_s)
+        return ApplicationAnswer(200, "text/plain", b"answer to " + key.encode(), target.name)
