Prove ownership and publishing on virtual time; hand over at once

Cause: others gave a stopping owner 4 s of grace because it still answered heartbeats, so a planned stop left the cell unowned; found by test_hand_over_at_a_planned_stop_is_quick, which failed first. Ruled out: the store, whose record was gone at once.

--- a/src/lacewingmill/cells/elector.py
+++ b/src/lacewingmill/cells/elector.py
@@ -153,12 +153,17 @@
             self._stored,
             self._heard,
             self._owner_heard_at,
+            self._owner_leaving(),
             self._absent_since,
             self._store_away_since,
             self._fleet.entry_rank(self._vm, without=self._heard.vm if self._heard else ""),
             self.eligible,
         )
 
+    def _owner_leaving(self) -> bool:
+        state = self._fleet.peer(self._heard.vm) if self._heard is not None else None
+        return state is not None and state.leaving
+
     def _step(self) -> None:
         decision = decide_ownership(self._facts(), self._clock.now())
         try:
--- a/src/lacewingmill/cells/ownership.py
+++ b/src/lacewingmill/cells/ownership.py
@@ -39,6 +39,7 @@
     :param stored: the record in the store when it was last read; ``None`` when absent.
     :param heard: the record with the highest fence that heartbeats or the store ever showed.
     :param owner_heard_at: when the owner last answered a heartbeat, in seconds.
+    :param owner_leaving: whether the owner said that it is stopping.
     :param absent_since: since when the store shows no owner, in seconds; ``None`` if it shows one.
     :param store_away_since: since when the store has not answered; ``None`` while it does.
     :param rank: position of this VM among the live entry VMs, 0 first.
@@ -50,6 +51,7 @@
     stored: OwnerRecord | None
     heard: OwnerRecord | None
     owner_heard_at: float
+    owner_leaving: bool
     absent_since: float | None
     store_away_since: float | None
     rank: int
@@ -93,7 +95,8 @@
     if facts.absent_since is None:
         return Ownership(OwnershipStep.KEEP)
     patience = facts.rank * RANK_DELAY_S
-    if facts.heard is not None and now - facts.owner_heard_at < SILENT_OWNER_S:
+    owner_lives = now - facts.owner_heard_at < SILENT_OWNER_S and not facts.owner_leaving
+    if facts.heard is not None and owner_lives:
         # The owner lives and lost its store lease in an outage: let it publish itself again.
         patience += ABSENT_GRACE_S + SILENT_OWNER_S
     if now - facts.absent_since < patience:
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,188 @@
+"""Ownership on virtual time: elections, outages, pauses and hand-overs over many seeds."""
+
+import random
+
+import pytest
+from fakes import FakeStore, VirtualClock
+
+from lacewingmill.cells.elector import Elector
+from lacewingmill.events import EventLog
+from lacewingmill.exceptions import StoreUnavailable
+from lacewingmill.membership.view import FleetView, PeerState
+from lacewingmill.models import Fence, Role, Vm, VmState
+
+VMS = 4
+STEP_S = 0.25
+
+
+class Member:
+    """One VM's elector, with the watch and the heartbeats played by the world."""
+
+    def __init__(self, world, number):
+        self.name = f"vm{number}"
+        self.world = world
+        self.fleet = FleetView(self.name)
+        self.taken = []
+        self.alive = True
+        self.paused = False
+        self.elector = Elector(
+            "main",
+            self.name,
+            f"127.0.0.1:{number + 1}",
+            world.store,
+            world.clock,
+            EventLog(self.name),
+            self.fleet,
+            self.take,
+            lambda: None,
+        )
+        self.elector.eligible = True
+
+    def take(self, fence):
+        """The workers accept a fence only if it is not lower than one before."""
+        if fence < self.world.workers_fence:
+            return False
+        self.world.workers_fence = fence
+        self.taken.append(fence)
+        self.world.taken.append((fence, self.name))
+        return True
+
+    def step(self):
+        self.elector._step()
+
+    def read_store(self):
+        try:
+            self.elector.store_changed()
+            self.elector.store_back()
+        except StoreUnavailable:
+            self.elector.store_away()
+
+
+class World:
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.clock = VirtualClock()
+        self.store = FakeStore(self.clock)
+        self.workers_fence = Fence()
+        self.taken = []
+        self.members = [Member(self, number) for number in range(VMS)]
+        listed = tuple(Vm(m.name, Role.ENTRY, "127.0.0.1:1", "d") for m in self.members)
+        for member in self.members:
+            member.fleet.list_read(listed)
+
+    def run(self, seconds):
+        for _ in range(int(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            order = [m for m in self.members if m.alive and not m.paused]
+            self.rng.shuffle(order)
+            for member in order:
+                member.read_store()
+                self.heartbeat(member, order)
+                member.step()
+
+    def heartbeat(self, member, others):
+        for other in others:
+            if other is not member:
+                other.elector.hear(member.elector.owner, member.name)
+                leaving = not member.elector.eligible
+                state = PeerState(self.clock.now(), leaving=leaving)
+                other.fleet.peer_heard(member.name, state)
+
+    def owners(self):
+        return [m for m in self.members if m.alive and not m.paused and m.elector.is_owner]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_one_owner_comes_out_of_any_order(seed):
+    world = World(seed)
+    world.run(5.0)
+    assert len(world.owners()) == 1
+    assert len(set(world.taken)) == len(world.taken)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_dead_owner_is_replaced_with_a_higher_fence(seed):
+    world = World(seed)
+    world.run(5.0)
+    world.owners()[0].alive = False
+    world.run(10.0)
+    assert len(world.owners()) == 1
+    assert world.owners()[0].elector.owner.fence > world.taken[0][0]
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_paused_owner_steps_down_when_it_wakes(seed):
+    world = World(seed)
+    world.run(5.0)
+    old = world.owners()[0]
+    old.paused = True
+    world.run(10.0)
+    old.paused = False
+    world.run(3.0)
+    assert not old.elector.is_owner
+    assert len(world.owners()) == 1
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_owner_goes_on_through_a_store_outage_and_stays(seed):
+    world = World(seed)
+    world.run(5.0)
+    owner = world.owners()[0]
+    world.store.down = True
+    world.run(20.0)
+    assert world.owners() == [owner]
+    world.store.down = False
+    world.run(10.0)
+    assert world.owners() == [owner]
+    assert len(world.taken) == 1
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_successor_takes_over_while_the_store_is_down_and_keeps_the_cell(seed):
+    world = World(seed)
+    world.run(5.0)
+    world.store.down = True
+    world.run(5.0)
+    world.owners()[0].alive = False
+    world.run(20.0)
+    assert len(world.owners()) == 1
+    successor = world.owners()[0]
+    assert successor.elector.owner.fence.attempt >= 1
+    world.store.down = False
+    world.run(10.0)
+    assert len(world.owners()) == 1
+    assert world.owners()[0].elector.owner.fence == world.workers_fence
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_lost_store_answers_never_leave_two_owners_or_none(seed):
+    world = World(seed)
+    for _ in range(6):
+        world.store.lose_writes = world.rng.randrange(4)
+        world.run(4.0)
+    world.store.lose_writes = 0
+    world.run(10.0)
+    assert len(world.owners()) == 1
+    assert world.owners()[0].elector.owner.fence == world.workers_fence
+
+
+def test_hand_over_at_a_planned_stop_is_quick():
+    world = World(1)
+    world.run(5.0)
+    old = world.owners()[0]
+    old.elector.hand_over()
+    world.run(3.0)
+    assert len(world.owners()) == 1
+    assert world.owners()[0] is not old
+
+
+def test_target_counts_as_leaving_from_the_first_sign():
+    view = FleetView("vm0")
+    live = Vm("e0", Role.EXECUTOR, "127.0.0.1:1", "d", service="svc")
+    view.list_read((live,))
+    assert view.targets(Role.EXECUTOR, "svc") == (live,)
+    leaving = Vm("e0", Role.EXECUTOR, "127.0.0.1:1", "d", VmState.LEAVING, service="svc")
+    assert view.list_read((leaving,)) == [live]
+    assert view.targets(Role.EXECUTOR, "svc") == ()
+    view.list_read((live,))
+    assert view.list_read(()) == [live]
