--- a/src/lacewingmill/adapters/http_server.py
+++ b/src/lacewingmill/adapters/http_server.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable, Mapping
+from http.client import HTTPException
 
 import attrs
 import gevent
@@ -10,7 +11,7 @@
 __all__ = ["HttpAnswer", "HttpRequest", "HttpService", "split_address"]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_HEADER_COUNT = 100
+MAX_HEADER_COUNT = 64
 READ_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 120.0
 LISTEN_BACKLOG = 1024
@@ -86,8 +87,11 @@
     """Bounds the time in which a request's head must arrive."""
 
     def read_request(self, raw_requestline):
-        with gevent.Timeout(READ_TIMEOUT_S, False):
-            return super().read_request(raw_requestline)
+        try:
+            with gevent.Timeout(READ_TIMEOUT_S, False):
+                return super().read_request(raw_requestline)
+        except HTTPException as exc:  # a client's fault, not worth a traceback
+            raise ValueError(str(exc)) from exc
         raise ValueError("request head took too long")
 
 
