Hold messages, docs, fleet and binary by tests; write quarantines to the log

Cause: operators' messages, events and the one binary had no tests. Ruled out: a page of events by hand, which drifts. Conclusion: kept; a route of a wrong kind gives one message in place of two.

--- a/src/lacewingmill/catalogue/documents.py
+++ b/src/lacewingmill/catalogue/documents.py
@@ -116,7 +116,7 @@
         kind = self._choice(f"{where}.kind", raw.kind, RouteKind, RouteKind.ORDINARY)
         if kind is RouteKind.JOB and raw.shape not in shapes:
             self.fault(f"{where}.shape", f"no such shape in this file: {raw.shape!r}")
-        if kind is RouteKind.ORDINARY and raw.shape:
+        if raw.kind == RouteKind.ORDINARY.value and raw.shape:
             self.fault(f"{where}.shape", "an ordinary route has no shape")
         deadline_s = self._quantity(f"{where}.deadline", raw.deadline, parse_duration_s)
         return Route(path, kind, raw.shape, raw.idempotent, raw.checkpoint, raw.claims, deadline_s)
--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -35,6 +35,7 @@
     JobFinished,
     JobSubmitted,
     RefuseJob,
+    SlotKey,
     StartGang,
     StopGang,
     Tick,
@@ -104,6 +105,8 @@
         self._works: dict[str, _Work] = {}
         self._by_gang: dict[str, _Work] = {}
         self._executed_before: dict[str, frozenset[str]] = {}
+        self._known_closed: frozenset[str] = frozenset()
+        self._known_short: frozenset[SlotKey] = frozenset()
         self.watch = WorkerWatch(parts.workers, parts.clock, fence, self)
         self._runner = GangRunner(parts.workers, parts.clock, fence, self.watch.find)
         self._ticker = gevent.spawn(self._tick_forever)
@@ -201,6 +204,7 @@
             active = lease.state in ("leased", "running")
             if work is None or work.gang is None:
                 if active:
+                    self._log.emit(LogEvent.ORPHAN_RELEASED, worker=worker, gang=lease.gang)
                     orphans.append(lease.gang)
                 continue
             gang = work.gang
@@ -513,6 +517,20 @@
                 elif work.report.phase is JobPhase.WAITING and now >= work.deadline:
                     self._cancel(work, "the deadline passed while the job waited")
             self._feed(Tick())
+            self._log_troubles()
+
+    def _log_troubles(self) -> None:
+        """Log quarantines and guarantees in shortfall when they begin."""
+        closed = frozenset(self._scheduler.cluster.closed)
+        for worker in closed - self._known_closed:
+            self._log.emit(LogEvent.WORKER_QUARANTINED, worker=worker)
+        self._known_closed = closed
+        short = frozenset(slot.key for slot in self._scheduler.book.shortfalls())
+        for key in short - self._known_short:
+            self._log.emit(
+                LogEvent.GUARANTEE_SHORTFALL, service=key.service, team=key.team, shape=key.shape
+            )
+        self._known_short = short
 
 
 def _claim_key(submit: SubmitJob) -> str:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,135 @@
+"""A fleet of processes seen by operators: status, audit, explain, leaving targets, new VMs."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import attrs
+import gevent
+import msgspec
+from fleet_calls import assert_own_answer, send
+
+from lacewingmill.client import OperatorClient
+from lacewingmill.codec import encode_json
+from lacewingmill.models import Role, VmState
+from lacewingmill.routing.jobs import make_job_id
+from standins.fleet import list_vms
+
+LEAVING_KNOWN_S = 4.0
+READY_WAIT_S = 20.0
+
+
+def command(fleet, *argv):
+    line = [sys.executable, "-m", "lacewingmill", *argv, "--to", fleet.ports.control(2)]
+    return subprocess.run(line, capture_output=True, text=True, check=False)
+
+
+def test_status_audit_and_explain(guild_fleet):
+    body = b'{"run_s": 0.2}'
+    send(guild_fleet, "/plume-desk/dye", "kingston-workshop", body, key="explained")
+    status = command(guild_fleet, "status")
+    assert status.returncode == 0
+    assert "entry-0: ready, revision 1" in status.stdout
+    assert "cell: 24 workers, " in status.stdout
+    audit = json.loads(command(guild_fleet, "audit", "--json").stdout)
+    assert [(entry["revision"], entry["by"]) for entry in audit] == [(1, "demo")]
+    job_id = make_job_id("plume-desk", "kingston-workshop", "explained")
+    explained = command(guild_fleet, "explain", job_id)
+    assert "done" in explained.stdout
+    assert "on its guarantee" in explained.stdout
+
+
+def test_racing_operator_is_told_both_revisions(guild_fleet):
+    done = guild_fleet.publish("examples/guild", "--base", "0")
+    assert done.returncode == 4
+    assert "revision 0" in done.stderr
+    assert "revision 1" in done.stderr
+
+
+def test_guarantees_that_cannot_pack_are_not_published(guild_fleet, tmp_path):
+    text = Path("examples/guild/plume-desk.lacewingmill.yaml").read_text()
+    wrong = text.replace("guarantees: {dye-run: 2}", "guarantees: {dye-run: 99}")
+    (tmp_path / "plume-desk.lacewingmill.yaml").write_text(wrong)
+    done = guild_fleet.publish(str(tmp_path))
+    assert done.returncode == 3
+    assert "teams.kingston-workshop.guarantees.dye-run" in done.stderr
+
+
+def test_leaving_executor_gets_no_new_work_after_seconds(guild_fleet):
+    vms = list_vms(guild_fleet.deployment, guild_fleet.ports)
+    leaving = next(vm for vm in vms if vm.role is Role.EXECUTOR)
+    change = attrs.evolve(leaving, state=VmState.LEAVING)
+    call = guild_fleet.caller.call
+    call(guild_fleet.ports.vm_list, "PUT", "/vms", body=encode_json(change), timeout_s=5.0)
+    gevent.sleep(LEAVING_KNOWN_S)
+    answered = {
+        assert_own_answer(
+            send(guild_fleet, "/plume-desk/stock", "undertakers", b"{}", key=f"leave-{n}"),
+            b"{}",
+            f"leave-{n}",
+        ).answered_by
+        for n in range(150)
+    }
+    assert leaving.name not in answered
+    assert len(answered) > 10
+
+
+def test_serve_has_one_process_and_one_thread(guild_fleet):
+    pid = guild_fleet.entries[0].pid
+    assert Path(f"/proc/{pid}/task/{pid}/children").read_text() == ""
+    assert len(list(Path(f"/proc/{pid}/task").iterdir())) == 1
+
+
+def test_metrics_are_served(guild_fleet):
+    address = guild_fleet.ports.entry(0)
+    send(guild_fleet, "/plume-desk/stock", "undertakers", b"{}", address=address)
+    reply = guild_fleet.caller.call(guild_fleet.ports.control(0), "GET", "/metrics", timeout_s=5.0)
+    for name in (b"lacewingmill_requests_total", b"lacewingmill_request_seconds_bucket"):
+        assert name in reply.body
+
+
+def test_refusals_are_problem_documents(guild_fleet):
+    for path, team, status in (
+        ("/plume-desk/nothing", "undertakers", 404),
+        ("/plume-desk/stock", "strangers", 400),
+    ):
+        reply = send(guild_fleet, path, team, b"{}")
+        assert reply.status == status
+        problem = msgspec.json.decode(reply.body)
+        assert problem["outcome"] == "not_run"
+        assert problem["step"]
+
+
+def test_async_job_is_answered_at_its_url(guild_fleet):
+    body = b'{"run_s": 0.2}'
+    reply = send(
+        guild_fleet, "/plume-desk/dye", "undertakers", body, key="later", Prefer="respond-async"
+    )
+    assert reply.status == 202
+    location = reply.headers["location"]
+    for _ in range(20):
+        answer = guild_fleet.caller.call(
+            guild_fleet.ports.balancer, "GET", f"{location}?wait=5", timeout_s=10.0
+        )
+        if answer.status == 200:
+            break
+    assert_own_answer(answer, body, "later")
+
+
+def test_new_vm_starts_from_its_peers_while_the_store_is_down(guild_fleet):
+    guild_fleet.fault(guild_fleet.ports.store, {"down": True})
+    try:
+        guild_fleet.entries[4].kill()
+        guild_fleet.entries[4].wait()
+        guild_fleet.start_entry(4)
+        guild_fleet._wait_for(guild_fleet.ports.control(4), "/ready")
+        statuses = OperatorClient(guild_fleet.ports.control(4)).statuses()
+        assert {status.vm: status.revision for status in statuses}["entry-4"] == 1
+        address = guild_fleet.ports.entry(4)
+        reply = send(
+            guild_fleet, "/plume-desk/stock", "undertakers", b"{}", key="s", address=address
+        )
+        assert_own_answer(reply, b"{}", "s")
+    finally:
+        guild_fleet.fault(guild_fleet.ports.store, {"down": False})
--- /dev/null
+++ b/tests/test_vm.py
@@ -0,0 +1,52 @@
+"""Readiness of an entry VM on virtual time."""
+
+from pathlib import Path
+
+import attrs
+from fakes import VirtualClock
+
+from lacewingmill.adapters.store import StoreUsage
+from lacewingmill.events import EventLog
+from lacewingmill.membership.view import FleetView, PeerState
+from lacewingmill.settings import load_settings
+from lacewingmill.vm import EntryVm
+
+
+@attrs.define
+class Stub:
+    """Stands for the parts that readiness does not use."""
+
+    revision: int = 0
+    usage: StoreUsage = attrs.field(factory=StoreUsage)
+
+
+def make_vm(tmp_path: Path):
+    path = tmp_path / "vm.yaml"
+    path.write_text(
+        "vm: a\nfailure_domain: d\nlisten: 127.0.0.1:1\ncontrol: 127.0.0.1:2\n"
+        "store: 127.0.0.1:3\nvm_list: 127.0.0.1:4\nstale_after: 60 s\n"
+    )
+    clock, fleet, catalogue = VirtualClock(), FleetView("a"), Stub()
+    vm = EntryVm(load_settings(path), clock, EventLog("a"), None, Stub(), None, fleet)
+    vm.attach(catalogue, None, None, None, None, None, None)
+    return vm, clock, fleet, catalogue
+
+
+def test_vm_is_not_ready_before_it_knows_list_and_configuration(tmp_path):
+    vm, _, _, catalogue = make_vm(tmp_path)
+    assert "VM list" in vm.why_not_ready()
+    vm._list_read = True
+    assert "configuration" in vm.why_not_ready()
+    catalogue.revision = 3
+    assert vm.why_not_ready() == ""
+
+
+def test_vm_cut_off_from_store_and_peers_turns_not_ready(tmp_path):
+    vm, clock, fleet, catalogue = make_vm(tmp_path)
+    vm._list_read, catalogue.revision = True, 3
+    clock.advance(59.0)
+    assert vm.why_not_ready() == ""
+    clock.advance(2.0)
+    assert "cut off" in vm.why_not_ready()
+    fleet.peer_heard("b", PeerState(clock.now()))
+    assert vm.why_not_ready() == ""
