--- a/bench/measure.py
+++ b/bench/measure.py
@@ -67,7 +67,7 @@
     :raises KeyError: when there is no such policy.
     """
     makers = {
-        "default": lambda: Scheduler(rules, deployment.weights.fragmentation),
+        "default": lambda: Scheduler(rules),
         "first_fit": FirstFit,
         "best_fit_backfill": BestFitBackfill,
     }
--- a/src/lacewingmill/cells/cell.py
+++ b/src/lacewingmill/cells/cell.py
@@ -40,7 +40,7 @@
 
     def take(self, fence: Fence) -> bool:
         """Take the cell over under a fence; return whether it could be recovered."""
-        scheduler = Scheduler(fragmentation_weight=self._weights.fragmentation)
+        scheduler = Scheduler()
         driver = CellDriver(attrs.evolve(self._parts, scheduler=scheduler), fence)
         try:
             found = recover_cell(driver, self._parts.workers, self._parts.clock, self._workers)
--- /dev/null
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -0,0 +1,117 @@
+"""Borrowed work: its order, its placement beside the guarantees, and a reservation for one gang."""
+
+from lacewingmill.models import Shape
+from lacewingmill.scheduling.cluster import Block, Node
+from lacewingmill.scheduling.messages import Job
+from lacewingmill.scheduling.order import priority
+from lacewingmill.scheduling.placement import PlacementRules, find_block
+from lacewingmill.scheduling.records import JobRecord
+from lacewingmill.scheduling.reservation import plan_reservation
+from lacewingmill.scheduling.state import CellState
+
+__all__ = ["BorrowPlanner"]
+
+
+class BorrowPlanner:
+    """Places queued work on accelerators that its team has no guarantee for."""
+
+    def __init__(self, state: CellState):
+        self._state = state
+
+    def place(self, now: float) -> None:
+        """Place queued work in order; a reservation holds a block for one wide gang."""
+        if not self._state.queue:
+            return
+        ranked = sorted(self._state.queue.values(), key=lambda record: self._priority(record, now))
+        self._refresh_reservation(ranked, now)
+        failed: set[tuple[Shape, bool]] = set()
+        for record in ranked:
+            kind = (record.job.shape, record.job.evictable)
+            if kind in failed and not self._is_reserved_for(record):
+                continue
+            if self._state.over_limit(record.job):
+                record.blocked_by = "the team's limit of accelerators"
+                continue
+            block = self._find(record, now)
+            if block is None:
+                failed.add(kind)
+                record.blocked_by = "no free block of its shape"
+                continue
+            del self._state.queue[record.job.job_id]
+            self._state.start(record, block, now)
+
+    def _priority(self, record: JobRecord, now: float) -> tuple[float, float, str]:
+        job = record.job
+        expected = max(self._state.expected_s(job) - record.done_s, 0.0)
+        waited = now - job.submitted_at
+        key = priority(self._state.rules, expected, job.shape.accelerators, waited)
+        return (key, job.submitted_at, job.job_id)
+
+    def _find(self, record: JobRecord, now: float) -> Block | None:
+        block = find_block(self._state.cluster, record.job.shape, self._rules(record, now))
+        if block is not None or record.job.evictable:
+            return block
+        return self._find_by_moving_reservations(record, now)
+
+    def _rules(
+        self, record: JobRecord, now: float, *, over_reserved: bool = False
+    ) -> PlacementRules:
+        job = record.job
+        avoid = self._state.failures.failed_on(job.job_id)
+        expected = self._state.expected_s(job) - record.done_s
+
+        def units(node: Node) -> int:
+            worker = node.info.worker
+            if worker in avoid or not self._open_to(job, worker, node):
+                return 0
+            if self._held_off(record, worker, now + expected):
+                return 0
+            free = node.free_units(job.shape)
+            if job.evictable:
+                return free
+            limit = node.unreserved_units if over_reserved else node.hard_units
+            return min(free, limit(job.shape))
+
+        return PlacementRules(units, self._state.rank)
+
+    def _open_to(self, job: Job, worker: str, node: Node) -> bool:
+        """A worker on probation takes one evictable job at a time."""
+        if not self._state.failures.probing(worker):
+            return True
+        return job.idempotent and not node.gangs
+
+    def _find_by_moving_reservations(self, record: JobRecord, now: float) -> Block | None:
+        rules = self._rules(record, now, over_reserved=True)
+        block = find_block(self._state.cluster, record.job.shape, rules)
+        if block is not None and self._state.book.make_room(record.job.shape, block):
+            return block
+        return None
+
+    def _refresh_reservation(self, ranked: list[JobRecord], now: float) -> None:
+        current = self._state.reservation
+        if current is not None and (
+            current.job_id not in self._state.queue or now >= current.start_at
+        ):
+            self._state.reservation = current = None
+        if current is not None:
+            return
+        starving = [record for record in ranked if self._state.starves(record, now)]
+        if not starving:
+            return
+        oldest = min(starving, key=lambda record: record.job.submitted_at)
+        self._state.reservation = plan_reservation(
+            self._state.cluster, oldest.job, self._state.records, self._state.run_times, now
+        )
+
+    def _held_off(self, record: JobRecord, worker: str, end: float) -> bool:
+        """Whether a reservation keeps a job that would end at ``end`` off a worker."""
+        reservation = self._state.reservation
+        if reservation is None or self._is_reserved_for(record):
+            return False
+        return worker in reservation.workers and end > reservation.start_at
+
+    def _is_reserved_for(self, record: JobRecord) -> bool:
+        return (
+            self._state.reservation is not None
+            and self._state.reservation.job_id == record.job.job_id
+        )
--- /dev/null
+++ b/src/lacewingmill/scheduling/state.py
@@ -0,0 +1,191 @@
+"""The state of a cell that the planners share, and the steps that change it."""
+
+from lacewingmill.models import Shape
+from lacewingmill.scheduling.cluster import Block, Cluster, Node
+from lacewingmill.scheduling.guarantees import Slot, SlotBook
+from lacewingmill.scheduling.messages import Action, EvictGang, Job, StartGang
+from lacewingmill.scheduling.order import OrderRules
+from lacewingmill.scheduling.placement import PackingValue
+from lacewingmill.scheduling.records import JobRecord, JobState
+from lacewingmill.scheduling.reservation import Reservation
+from lacewingmill.scheduling.runtimes import RunTimes
+from lacewingmill.scheduling.suspects import FailureBook
+
+__all__ = ["HELD_STATES", "CellState"]
+
+BEYOND_RESERVED_RANK = 0.25
+TIGHTNESS_RANK = 0.05
+DOUBTFUL_RANK = 100.0
+HELD_STATES = (JobState.STARTING, JobState.RUNNING, JobState.EVICTING)
+
+
+class CellState:
+    """Jobs, accelerators, guarantees and what was learned.
+
+    :param rules: order, reservation and healing of borrowed work.
+    """
+
+    def __init__(self, rules: OrderRules):
+        self.rules = rules
+        self.cluster = Cluster()
+        self.book = SlotBook(self.cluster)
+        self.records: dict[str, JobRecord] = {}
+        self.queue: dict[str, JobRecord] = {}
+        self.pending: dict[str, JobRecord] = {}
+        self.run_times = RunTimes()
+        self.failures = FailureBook()
+        self.mix: tuple[Shape, ...] = ()
+        self.packing = PackingValue(self.cluster, ())
+        self.limits: dict[tuple[str, str], int] = {}
+        self.held: dict[tuple[str, str], int] = {}
+        self.reservation: Reservation | None = None
+        self.moving: dict[str, str] = {}
+        self.silent: set[str] = set()
+        self.actions: list[Action] = []
+
+    def start(self, record: JobRecord, block: Block, now: float) -> None:
+        """Start a job on a block."""
+        job = record.job
+        if record.slot is None and not job.evictable:
+            record.hard = True
+            self.book.harden(job.shape, block, 1)
+        record.block = ()
+        record.placement = self.cluster.allocate(job.job_id, job.shape, block)
+        record.state = JobState.STARTING
+        record.started_at = now
+        record.blocked_by = ""
+        self.count_held(job, 1)
+        kind = "its guarantee" if record.slot is not None else "borrowed accelerators"
+        record.note(now, f"placed on {', '.join(record.workers)} on {kind}")
+        self.actions.append(StartGang(job.job_id, record.placement, record.slot is not None))
+
+    def requeue(self, record: JobRecord, now: float, why: str) -> None:
+        """Take back what a job holds and let it wait again."""
+        self.vacate(record)
+        record.state = JobState.QUEUED
+        record.note(now, f"{why}; waits again")
+        self.queue[record.job.job_id] = record
+
+    def evict(self, record: JobRecord, for_job: str, now: float) -> None:
+        """Order a gang to give its accelerators back."""
+        record.state = JobState.EVICTING
+        record.note(now, f"evicted for {for_job}")
+        self.actions.append(EvictGang(record.job.job_id, for_job, record.job.checkpoint))
+
+    def end(self, record: JobRecord) -> None:
+        """Forget a job that is over."""
+        self.vacate(record)
+        self.queue.pop(record.job.job_id, None)
+        self.moving.pop(record.job.job_id, None)
+        del self.records[record.job.job_id]
+
+    def vacate(self, record: JobRecord) -> None:
+        """Give back whatever a job holds; a claimed slot's block becomes its reservation again."""
+        job = record.job
+        block = record.block or record.held_block
+        if record.block:
+            self.pledge(job.shape, record.block, -1)
+            self.pending.pop(job.job_id, None)
+        if record.state in HELD_STATES:
+            self.cluster.release(job.job_id, job.shape, record.workers)
+            self.count_held(job, -1)
+        if record.hard:
+            self.book.harden(job.shape, block, -1)
+        slot = record.slot
+        record.block, record.placement, record.slot, record.hard = (), (), None, False
+        if slot is not None:
+            slot.holder = ""
+            self._return_slot(slot, block)
+
+    def drop_member(self, record: JobRecord, worker: str) -> None:
+        """Give back what a gang held on a lost worker, and its guarantee with it."""
+        shape = record.job.shape
+        lost = tuple(part for part in record.held_block if part.worker == worker)
+        self.cluster.release(record.job.job_id, shape, (worker,))
+        if record.hard:
+            self.book.harden(shape, lost, -1)
+        record.placement = tuple(member for member in record.placement if member.worker != worker)
+        if record.slot is not None:
+            record.slot.holder = ""
+            record.slot = None
+
+    def drop_pending_on(self, worker: str, now: float) -> None:
+        """Queue the claims anew whose block uses a worker."""
+        for record in list(self.pending.values()):
+            if any(part.worker == worker for part in record.block):
+                self.requeue(record, now, f"worker {worker} went while it was being cleared")
+
+    def close_worker(self, worker: str, now: float) -> None:
+        """Give a worker nothing new, and move reservations and pending claims off it."""
+        self.cluster.close(worker)
+        self.book.leave(worker)
+        self.book.home_all()
+        self.drop_pending_on(worker, now)
+        self.reservation = None
+
+    def _return_slot(self, slot: Slot, block: Block) -> None:
+        if slot.retired:
+            return
+        nodes = [self.cluster.nodes.get(part.worker) for part in block]
+        if all(node is not None and self.cluster.usable(node) for node in nodes):
+            self.book.put(slot, block)
+            return
+        self.book.home_all()
+
+    def free_now(self, shape: Shape, block: Block) -> bool:
+        """Whether a block is free at this moment."""
+        return all(
+            self.cluster.nodes[part.worker].free_units(shape) >= part.units for part in block
+        )
+
+    def pledge(self, shape: Shape, block: Block, sign: int) -> None:
+        """Count a block as taken by a pending claim, or no more (``sign`` -1)."""
+        for part in block:
+            node = self.cluster.nodes.get(part.worker)
+            if node is not None:
+                node.pledged.add(shape, sign * part.units)
+
+    def count_held(self, job: Job, sign: int) -> None:
+        """Count a job's accelerators for its team's limit."""
+        key = (job.service, job.team)
+        self.held[key] = self.held.get(key, 0) + sign * job.shape.accelerators
+
+    def over_limit(self, job: Job) -> bool:
+        """Whether a job would take its team over its limit."""
+        limit = self.limits.get((job.service, job.team))
+        if not limit:
+            return False
+        held = self.held.get((job.service, job.team), 0)
+        return held + job.shape.accelerators > limit
+
+    def expected_s(self, job: Job) -> float:
+        """Return a job's expected run time, in seconds."""
+        if not self.rules.learned:
+            return job.shape.expected_s
+        return self.run_times.expect(job.service, job.shape.name, job.shape.expected_s)
+
+    def remaining_s(self, record: JobRecord, now: float) -> float:
+        """Return how long a running job is expected to go on, in seconds."""
+        job = record.job
+        elapsed = now - record.started_at + record.done_s
+        return self.run_times.remaining(job.service, job.shape.name, job.shape.expected_s, elapsed)
+
+    def starves(self, record: JobRecord, now: float) -> bool:
+        """Whether a wide gang has waited so long that it gets a reservation."""
+        rules = self.rules
+        patience = max(rules.reserve_least_s, rules.reserve_after * self.expected_s(record.job))
+        return (
+            record.job.shape.accelerators > 1
+            and now - record.job.submitted_at >= patience
+            and not self.over_limit(record.job)
+        )
+
+    def rank(self, node: Node, units: int) -> float:
+        """Cost of a placement: what gangs can no longer use, reserved blocks, tightness."""
+        left = len(node.free) - units
+        beyond = max(0, node.reserved.accelerators - left)
+        rank = self.packing.loss(node, units)
+        rank += BEYOND_RESERVED_RANK * beyond + TIGHTNESS_RANK * left
+        if self.failures.doubtful(node.info.worker):
+            rank += DOUBTFUL_RANK
+        return rank
