Send ordinary requests to the executor with least own in flight

An executor that refuses at once looks idle; the test for it failed before and passes with refusals weighed like requests in flight.

--- a/src/lacewingmill/catalogue/packing.py
+++ b/src/lacewingmill/catalogue/packing.py
@@ -9,11 +9,11 @@
     SlotKey,
     TeamLimit,
     WorkerJoined,
-    WorkerNode,
+    worker_node,
 )
 from lacewingmill.scheduling.scheduler import Scheduler
 
-__all__ = ["PackingReport", "check_packing", "guarantees_of", "worker_node"]
+__all__ = ["PackingReport", "check_packing", "guarantees_of"]
 
 
 @attrs.frozen
@@ -28,13 +28,6 @@
     fragile: tuple[str, ...]
 
 
-def worker_node(vm: Vm) -> WorkerNode:
-    """Return a worker of the VM list as the scheduler sees it."""
-    return WorkerNode(
-        vm.name, vm.rack, vm.failure_domain, vm.accelerators, vm.processors, vm.memory_gb
-    )
-
-
 def guarantees_of(services: tuple[Service, ...]) -> GuaranteesChanged:
     """Return the scheduler's event for a configuration."""
     slots = []
--- a/src/lacewingmill/cells/cell.py
+++ b/src/lacewingmill/cells/cell.py
@@ -1,5 +1,7 @@
 """The cell as this VM takes part in it: it owns the driver while this VM is the owner."""
 
+from collections.abc import Callable
+
 import attrs
 
 from lacewingmill.catalogue.packing import guarantees_of
@@ -8,7 +10,7 @@
 from lacewingmill.cells.recovery import recover_cell
 from lacewingmill.events import LogEvent
 from lacewingmill.exceptions import FenceRejected, NotOwner
-from lacewingmill.models import Fence, Service, Vm, Weights
+from lacewingmill.models import Fence, Service, Vm
 from lacewingmill.scheduling.messages import GuaranteesChanged
 from lacewingmill.scheduling.scheduler import Scheduler
 
@@ -22,9 +24,8 @@
     :param deposed: called when the driver meets a higher fence.
     """
 
-    def __init__(self, parts: CellParts, weights: Weights, deposed):
+    def __init__(self, parts: CellParts, deposed: Callable[[], None]):
         self._parts = parts
-        self._weights = weights
         self._deposed = deposed
         self._workers: tuple[Vm, ...] = ()
         self._guarantees: GuaranteesChanged | None = None
--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -4,15 +4,15 @@
 
 import attrs
 import gevent
-from gevent.event import Event as Signal
 
 from lacewingmill.cells.gangs import LEASE_TTL_S, Gang, GangRunner, StartFailure
-from lacewingmill.cells.journal import ClaimJournal, claim_key
-from lacewingmill.cells.messages import ClaimRecord, JobPhase, JobReport, JobSpec, SubmitJob
+from lacewingmill.cells.journal import ClaimJournal
+from lacewingmill.cells.messages import JobPhase, JobReport, JobSpec, SubmitJob
+from lacewingmill.cells.work_claims import Work, WorkClaims
 from lacewingmill.cells.worker_watch import WorkerWatch
 from lacewingmill.codec import encode
 from lacewingmill.events import EventLog, LogEvent
-from lacewingmill.exceptions import FenceRejected, StoreConflict, StoreUnavailable
+from lacewingmill.exceptions import FenceRejected, StoreUnavailable
 from lacewingmill.models import Fence, Vm
 from lacewingmill.ports import (
     ApplicationAnswer,
@@ -42,9 +42,10 @@
     WorkerAnswered,
     WorkerJoined,
     WorkerLost,
-    WorkerNode,
     WorkerSilent,
+    worker_node,
 )
+from lacewingmill.scheduling.records import explain_record
 from lacewingmill.scheduling.scheduler import Scheduler
 
 __all__ = ["CellDriver", "CellParts"]
@@ -52,27 +53,9 @@
 TICK_S = 1.0
 REPORT_KEPT_S = 600.0
 GANG_CONTENT_TYPE = "application/json"
-EVIDENCE_VALID_S = 500.0
 UNKNOWN_START = "the gang was stopped after a member had run"
 
 
-@attrs.define(eq=False)
-class _Work:
-    """A submitted job and its present gang."""
-
-    submit: SubmitJob
-    deadline: float
-    report: JobReport
-    attempts: int = 0
-    gang: Gang | None = None
-    body_known: bool = True
-    done_s: float = 0.0
-    run_before_s: float = 0.0
-    claim_revision: int = 0
-    closed_at: float = 0.0
-    changed: Signal = attrs.field(factory=Signal)
-
-
 @attrs.frozen
 class CellParts:
     """What a driver is built from.
@@ -102,9 +85,9 @@
         self._clock = parts.clock
         self._log = parts.log
         self._scheduler = parts.scheduler
-        self._works: dict[str, _Work] = {}
-        self._by_gang: dict[str, _Work] = {}
-        self._executed_before: dict[str, frozenset[str]] = {}
+        self._works: dict[str, Work] = {}
+        self._by_gang: dict[str, Work] = {}
+        self._claims = WorkClaims(parts.journal, parts.clock, parts.vm, fence)
         self._known_closed: frozenset[str] = frozenset()
         self._known_short: frozenset[SlotKey] = frozenset()
         self.watch = WorkerWatch(parts.workers, parts.clock, fence, self)
@@ -125,7 +108,7 @@
             return
         report = JobReport(job_id, JobPhase.WAITING)
         now = self._clock.now()
-        self._works[job_id] = _Work(submit, now + submit.deadline_s, report)
+        self._works[job_id] = Work(submit, now + submit.deadline_s, report)
         job = attrs.evolve(submit.job, submitted_at=now)
         self._feed(JobSubmitted(job))
 
@@ -133,14 +116,14 @@
         """Take over a gang found running; its event to the scheduler is fed by the recovery."""
         report = JobReport(submit.job.job_id, JobPhase.RUNNING)
         deadline = self._clock.now() + submit.deadline_s
-        work = _Work(submit, deadline, report, gang=gang, body_known=False)
+        work = Work(submit, deadline, report, gang=gang, body_known=False)
         self._works[submit.job.job_id] = work
         self._by_gang[gang.gang_id] = work
 
     def keep_outcome(self, submit: SubmitJob, report: JobReport) -> None:
         """Remember the outcome of a job that ended before this VM owned the cell."""
         now = self._clock.now()
-        work = _Work(submit, now, report, closed_at=now)
+        work = Work(submit, now, report, closed_at=now)
         self._works[submit.job.job_id] = work
 
     def note_table(self, worker: str, leases: tuple[WorkerLease, ...]) -> None:
@@ -148,8 +131,7 @@
 
         From then on the worker refuses the owners before, so that a gang missing here never runs.
         """
-        executed = frozenset(lease.gang for lease in leases if lease.executed)
-        self._executed_before.setdefault(worker, executed)
+        self._claims.note_table(worker, leases)
 
     def feed(self, event: Event) -> None:
         """Pass an event to the scheduler and carry its actions out."""
@@ -163,8 +145,9 @@
         if not work.report.phase.final and wait_s > 0:
             work.changed.wait(wait_s)
         record = self._scheduler.records.get(job_id)
-        notes = tuple(record.notes) if record else work.report.notes
-        return attrs.evolve(work.report, notes=notes)
+        if record is None:
+            return work.report
+        return attrs.evolve(work.report, notes=explain_record(record))
 
     def cancel(self, job_id: str) -> None:
         """Give a job up for its caller."""
@@ -219,10 +202,7 @@
     def worker_joined(self, vm: Vm) -> None:
         """A worker's lease table is known and holds no orphans."""
         self._log.emit(LogEvent.WORKER_JOINED, worker=vm.name)
-        node = WorkerNode(
-            vm.name, vm.rack, vm.failure_domain, vm.accelerators, vm.processors, vm.memory_gb
-        )
-        self._feed(WorkerJoined(node))
+        self._feed(WorkerJoined(worker_node(vm)))
 
     def worker_silent(self, worker: str) -> None:
         """A worker did not answer in time."""
@@ -286,7 +266,7 @@
         except FenceRejected:
             self.fenced()
 
-    def _start(self, work: _Work, action: StartGang) -> None:
+    def _start(self, work: Work, action: StartGang) -> None:
         if not work.body_known:
             self._cancel(work, "the request's body was lost with the VM that took it in")
             return
@@ -314,7 +294,7 @@
         self._forget_gang(work, gang)
         self._reject(work, gang, failure)
 
-    def _reject(self, work: _Work, gang: Gang, failure: StartFailure) -> None:
+    def _reject(self, work: Work, gang: Gang, failure: StartFailure) -> None:
         job = work.submit.job
         self._log.emit(LogEvent.GANG_REJECTED, gang=gang.gang_id, reason=failure.reason)
         if failure.executed and not job.idempotent:
@@ -326,51 +306,19 @@
         if failure.worker:
             self._feed(GangRejected(job.job_id, failure.worker, failure.silent))
 
-    def _claim(self, work: _Work, gang: Gang) -> bool:
+    def _claim(self, work: Work, gang: Gang) -> bool:
         """Claim non-idempotent work in the store; return whether the gang may be sent."""
-        submit = work.submit
-        record = self._claim_record(gang)
-        journal = self._parts.journal
-        key = _claim_key(submit)
         try:
-            try:
-                work.claim_revision = journal.claim(
-                    key, record, expected=work.claim_revision, deadline=work.deadline
-                )
-            except StoreConflict:
-                found = journal.find(key)
-                if found is None or not self._may_replace(found.record):
-                    self._close_claimed(work, found.record.answer if found else None)
-                    return False
-                work.claim_revision = journal.claim(
-                    key, record, expected=found.revision, deadline=work.deadline
-                )
+            found = self._claims.claim(work, gang)
         except StoreUnavailable:
             self._cancel(work, "the store stayed away, so the job could not be claimed")
             return False
-        except StoreConflict:
-            self._close_claimed(work, None)
-            return False
-        return True
-
-    def _may_replace(self, claim: ClaimRecord) -> bool:
-        """Whether a claim of an earlier owner is proved never to have run.
-
-        Every member has accepted this fence and reported that it did not execute the gang.
-        """
-        recent = self._clock.wall() - claim.at < EVIDENCE_VALID_S
-        return (
-            claim.answer is None
-            and bool(claim.members)
-            and claim.fence < self.fence
-            and recent
-            and all(
-                worker in self._executed_before and claim.gang not in self._executed_before[worker]
-                for worker in claim.members
-            )
-        )
+        if found.granted:
+            return True
+        self._close_claimed(work, found.answer)
+        return False
 
-    def _close_claimed(self, work: _Work, answer: ApplicationAnswer | None) -> None:
+    def _close_claimed(self, work: Work, answer: ApplicationAnswer | None) -> None:
         """Answer a request whose key was claimed before: its answer if kept, else unknown."""
         job_id = work.submit.job.job_id
         if answer is not None:
@@ -380,18 +328,7 @@
             self._close_unknown(work, reason, "claim", "")
         self._feed(JobCancelled(job_id))
 
-    def _claim_record(self, gang: Gang, answer: ApplicationAnswer | None = None) -> ClaimRecord:
-        return ClaimRecord(
-            self._parts.journal.new_write_id(),
-            self._parts.vm,
-            self.fence,
-            self._clock.wall(),
-            gang.gang_id,
-            gang.workers,
-            answer,
-        )
-
-    def _lease_order(self, work: _Work, gang: Gang, rank: int, spec: bytes) -> LeaseOrder:
+    def _lease_order(self, work: Work, gang: Gang, rank: int, spec: bytes) -> LeaseOrder:
         shape = work.submit.job.shape
         indices = gang.placement[rank].accelerators
         return LeaseOrder(
@@ -405,7 +342,7 @@
             gang.workers,
         )
 
-    def _start_order(self, work: _Work, gang: Gang, rank: int) -> StartOrder:
+    def _start_order(self, work: Work, gang: Gang, rank: int) -> StartOrder:
         submit = work.submit
         return StartOrder(
             gang.gang_id,
@@ -417,7 +354,7 @@
             work.done_s,
         )
 
-    def _evict(self, work: _Work, action: EvictGang) -> None:
+    def _evict(self, work: Work, action: EvictGang) -> None:
         gang = work.gang
         if gang is None or gang.closing:
             # The start was under way and failed by itself; nothing is held any more.
@@ -440,13 +377,13 @@
         self._by_gang.pop(gang.gang_id, None)
         self._log.emit(LogEvent.GANG_STOPPED, gang=gang.gang_id, reason=reason)
 
-    def _finish(self, work: _Work, gang: Gang, result: bytes) -> None:
+    def _finish(self, work: Work, gang: Gang, result: bytes) -> None:
         if gang.closing or work.gang is not gang:
             return
         gang.closing = True
         self._complete(work, gang, result)
 
-    def _complete(self, work: _Work, gang: Gang, result: bytes) -> None:
+    def _complete(self, work: Work, gang: Gang, result: bytes) -> None:
         """Answer the caller first, then free the accelerators."""
         job = work.submit.job
         answer = ApplicationAnswer(200, GANG_CONTENT_TYPE, result, gang.workers[0])
@@ -457,10 +394,9 @@
         self._forget_gang(work, gang)
         self._feed(JobFinished(job.job_id, run_s))
         if not job.idempotent:
-            record = self._claim_record(gang, answer)
-            self._parts.journal.settle(_claim_key(work.submit), record, work.claim_revision)
+            self._claims.settle(work, gang, answer)
 
-    def _learn_body(self, work: _Work, submit: SubmitJob) -> None:
+    def _learn_body(self, work: Work, submit: SubmitJob) -> None:
         """Take the body of a recovered job from the entry VM that holds it."""
         if work.body_known:
             return
@@ -468,7 +404,7 @@
         work.deadline = self._clock.now() + submit.deadline_s
         work.body_known = True
 
-    def _fail_member(self, work: _Work, gang: Gang, worker: str) -> None:
+    def _fail_member(self, work: Work, gang: Gang, worker: str) -> None:
         if gang.closing or work.gang is not gang:
             return
         self._runner.release(gang, checkpoint=False)
@@ -476,7 +412,7 @@
         work.report = JobReport(work.submit.job.job_id, JobPhase.WAITING)
         self._feed(JobFailed(work.submit.job.job_id, worker))
 
-    def _cancel(self, work: _Work, reason: str) -> None:
+    def _cancel(self, work: Work, reason: str) -> None:
         """End a job early; it was not run only if no gang of it may have been started."""
         job_id = work.submit.job.job_id
         if work.gang is None and work.done_s == 0.0 and not work.run_before_s:
@@ -485,22 +421,22 @@
             self._close_unknown(work, reason, "run", "")
         self._feed(JobCancelled(job_id))
 
-    def _close_unknown(self, work: _Work, reason: str, step: str, peer: str) -> None:
+    def _close_unknown(self, work: Work, reason: str, step: str, peer: str) -> None:
         job_id = work.submit.job.job_id
         self._log.emit(LogEvent.JOB_UNKNOWN, job=job_id, reason=reason)
         report = JobReport(job_id, JobPhase.UNKNOWN, reason=reason, step=step, peer=peer)
         self._close(work, report)
 
-    def _close(self, work: _Work, report: JobReport) -> None:
+    def _close(self, work: Work, report: JobReport) -> None:
         if work.report.phase.final:
             return
         record = self._scheduler.records.get(report.job_id)
-        notes = tuple(record.notes) if record else ()
+        notes = explain_record(record) if record else ()
         work.report = attrs.evolve(report, notes=notes)
         work.closed_at = self._clock.now()
         work.changed.set()
 
-    def _forget_gang(self, work: _Work, gang: Gang) -> None:
+    def _forget_gang(self, work: Work, gang: Gang) -> None:
         self._by_gang.pop(gang.gang_id, None)
         if work.gang is gang:
             work.gang = None
@@ -531,7 +467,3 @@
                 LogEvent.GUARANTEE_SHORTFALL, service=key.service, team=key.team, shape=key.shape
             )
         self._known_short = short
-
-
-def _claim_key(submit: SubmitJob) -> str:
-    return claim_key(submit.job.service, submit.job.team, submit.key)
--- a/src/lacewingmill/cells/recovery.py
+++ b/src/lacewingmill/cells/recovery.py
@@ -15,7 +15,7 @@
     Member,
     RunningGang,
     WorkerJoined,
-    WorkerNode,
+    worker_node,
 )
 
 __all__ = ["RecoveredCell", "recover_cell"]
@@ -113,10 +113,7 @@
 
 def _join(driver: CellDriver, vm: Vm) -> None:
     driver.watch.expect_live(vm)
-    node = WorkerNode(
-        vm.name, vm.rack, vm.failure_domain, vm.accelerators, vm.processors, vm.memory_gb
-    )
-    driver.feed(WorkerJoined(node))
+    driver.feed(WorkerJoined(worker_node(vm)))
 
 
 def _take_gang(
--- a/src/lacewingmill/routing/executors.py
+++ b/src/lacewingmill/routing/executors.py
@@ -1,4 +1,4 @@
-"""Which executor gets a request: two random choices on own requests in flight, with ejection.
+"""Which executor gets a request: the one with least own requests in flight, with ejection.
 
 Only what shows that an executor cannot be reached counts against it: failed connections, silence,
 502 and 504. Answers such as 429, 500 and 503 come from a live executor, and ejecting it for them
@@ -17,6 +17,8 @@
 EJECT_AFTER = 2
 EJECT_S = 2.0
 EJECT_LONGEST_S = 30.0
+MOST_REFUSALS = 8
+REFUSAL_STATUSES = frozenset((429, 500, 503))
 UNREACHABLE_STATUSES = frozenset((502, 504))
 
 
@@ -24,14 +26,22 @@
 class _Target:
     """One executor as this VM sees it.
 
+    :param refusals: refusals in a row; they weigh like requests in flight, so that an executor
+        that refuses at once and therefore looks idle does not attract all requests.
     :param ejected_until: no requests before, in seconds.
     """
 
     vm: Vm
     in_flight: int = 0
+    refusals: int = 0
     failures: int = 0
     ejected_until: float = 0.0
 
+    @property
+    def weight(self) -> int:
+        """What the choice compares."""
+        return self.in_flight + min(self.refusals, MOST_REFUSALS)
+
 
 @attrs.frozen(eq=False)
 class TargetLease:
@@ -48,7 +58,7 @@
 class ExecutorPool:
     """The executors of one service.
 
-    :param rng: random numbers for the two choices.
+    :param rng: random numbers that break ties.
     """
 
     def __init__(self, rng: random.Random):
@@ -87,8 +97,7 @@
         ]
         if not usable:
             return None
-        chosen = self._rng.sample(usable, min(2, len(usable)))
-        target = min(chosen, key=lambda item: item.in_flight)
+        target = min(usable, key=lambda item: (item.weight, self._rng.random()))
         target.in_flight += 1
         return TargetLease(target)
 
@@ -101,6 +110,8 @@
         if status in UNREACHABLE_STATUSES:
             return self.failed(lease, now)
         lease.target.failures = 0
+        refused = status in REFUSAL_STATUSES
+        lease.target.refusals = lease.target.refusals + 1 if refused else 0
         return False
 
     def failed(self, lease: TargetLease, now: float) -> bool:
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -30,12 +30,12 @@
             if kind in failed and not self._is_reserved_for(record):
                 continue
             if self._state.over_limit(record.job):
-                record.blocked_by = "the team's limit of accelerators"
+                record.blocked_by = "its team to fall below its limit of accelerators"
                 continue
             block = self._find(record, now)
             if block is None:
                 failed.add(kind)
-                record.blocked_by = "no free block of its shape"
+                record.blocked_by = "a free block of its shape"
                 continue
             del self._state.queue[record.job.job_id]
             self._state.start(record, block, now)
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from lacewingmill.models import Adjacency, Shape
+from lacewingmill.models import Adjacency, Shape, Vm
 
 __all__ = [
     "Action",
@@ -37,6 +37,8 @@
     "WorkerLost",
     "WorkerNode",
     "WorkerSilent",
+    "block_name",
+    "worker_node",
 ]
 
 
@@ -52,6 +54,13 @@
     memory_gb: float
 
 
+def worker_node(vm: Vm) -> WorkerNode:
+    """Return a worker of the VM list as the scheduler sees it."""
+    return WorkerNode(
+        vm.name, vm.rack, vm.failure_domain, vm.accelerators, vm.processors, vm.memory_gb
+    )
+
+
 @attrs.frozen
 class Member:
     """The part of a gang on one worker, by accelerator index."""
--- a/src/lacewingmill/scheduling/records.py
+++ b/src/lacewingmill/scheduling/records.py
@@ -8,7 +8,7 @@
 from lacewingmill.scheduling.guarantees import Slot
 from lacewingmill.scheduling.messages import Job, Placement
 
-__all__ = ["JobRecord", "JobState", "Note"]
+__all__ = ["JobRecord", "JobState", "Note", "explain_record"]
 
 NOTES_KEPT = 20
 
@@ -75,3 +75,12 @@
         self.notes.append(Note(now, text))
         if len(self.notes) > NOTES_KEPT:
             del self.notes[1]
+
+
+def explain_record(record: JobRecord) -> tuple[Note, ...]:
+    """Return the decisions about a job, and what it waits for now."""
+    notes = tuple(record.notes)
+    if record.state is not JobState.QUEUED or not record.blocked_by:
+        return notes
+    at = notes[-1].at if notes else record.job.submitted_at
+    return (*notes, Note(at, f"waits for {record.blocked_by}"))
--- a/src/lacewingmill/settings.py
+++ b/src/lacewingmill/settings.py
@@ -5,19 +5,10 @@
 import attrs
 
 from lacewingmill.exceptions import SettingsError
-from lacewingmill.models import Weights
 from lacewingmill.yaml_files import parse_duration_s, read_yaml, structure_document
 
 __all__ = ["Settings", "load_settings"]
 
-WEIGHT_SUM_TOLERANCE = 0.001
-
-
-@attrs.frozen
-class _WeightsDocument:
-    completion_time: float
-    fragmentation: float
-
 
 @attrs.frozen
 class _SettingsDocument:
@@ -28,7 +19,6 @@
     store: str
     vm_list: str
     cell: str = "main"
-    weights: _WeightsDocument = _WeightsDocument(0.5, 0.5)
     drain: str = "5 s"
     stop_within: str = "10 min"
     stale_after: str = "60 s"
@@ -56,7 +46,6 @@
     store: str
     vm_list: str
     cell: str
-    weights: Weights
     drain_s: float
     stop_within_s: float
     stale_after_s: float
@@ -81,9 +70,6 @@
     for key in ("listen", "control", "store", "vm_list"):
         if not _is_address(getattr(document, key)):
             findings.append(f"{path}: {key}: expected HOST:PORT, an IP number and a port")
-    weights = document.weights
-    if abs(weights.completion_time + weights.fragmentation - 1.0) > WEIGHT_SUM_TOLERANCE:
-        findings.append(f"{path}: weights: completion_time and fragmentation must sum to 1")
     durations = {}
     for key in ("drain", "stop_within", "stale_after"):
         try:
@@ -100,7 +86,6 @@
         store=document.store,
         vm_list=document.vm_list,
         cell=document.cell,
-        weights=Weights(weights.completion_time, weights.fragmentation),
         **durations,
     )
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -86,10 +86,10 @@
     path = tmp_path / "vm.yaml"
     path.write_text(
         "vm: a\nfailure_domain: d\nlisten: here\ncontrol: 127.0.0.1:1\nstore: 127.0.0.1:2\n"
-        "vm_list: 127.0.0.1:3\ndrain: 5\nweights: {completion_time: 0.9, fragmentation: 0.9}\n"
+        "vm_list: 127.0.0.1:3\ndrain: 5\ncolour: red\n"
     )
     code, _, err = run(capsys, "serve", "--settings", str(path))
     assert code == ExitCode.INVALID
-    path.write_text(path.read_text().replace("drain: 5", "drain: 5 s"))
+    path.write_text(path.read_text().replace("drain: 5\ncolour: red", "drain: soon"))
     _, _, more = run(capsys, "serve", "--settings", str(path))
     assert (err + more).replace(str(tmp_path), "DIR") == snapshot
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -10,7 +10,7 @@
 from lacewingmill.cells.messages import JobPhase, SubmitJob
 from lacewingmill.events import EventLog
 from lacewingmill.exceptions import NotOwner
-from lacewingmill.models import Adjacency, Fence, Guarantee, Service, Shape, Team, Weights
+from lacewingmill.models import Adjacency, Fence, Guarantee, Service, Shape, Team
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.scheduler import Scheduler
 
@@ -45,7 +45,7 @@
             EventLog(vm),
             vm,
         )
-        cell = Cell(parts, Weights(), lambda: None)
+        cell = Cell(parts, lambda: None)
         cell.set_workers(self.vms)
         cell.set_services(SERVICES)
         assert cell.take(Fence(epoch, 0))
--- a/tests/test_ordinary.py
+++ b/tests/test_ordinary.py
@@ -170,3 +170,21 @@
     assert pool.answered(lease, 504, 0.0)
     names = {pool.take(0.5).vm.name for _ in range(40)}
     assert lease.vm.name not in names
+
+
+def test_executor_that_refuses_at_once_does_not_attract_all_requests():
+    pool = ExecutorPool(random.Random(1))
+    pool.set_targets(executors(4), 2)
+    held = [pool.take(0.0) for _ in range(8)]
+    refusing = held[0].vm.name
+    refused = 0
+    for _ in range(100):
+        lease = pool.take(0.0)
+        if lease.vm.name == refusing:
+            refused += 1
+            pool.answered(lease, 503, 0.0)
+            pool.give_back(lease)
+        else:
+            held.append(lease)
+            pool.give_back(held.pop(1))
+    assert refused <= 40
