Never let an eviction cross a start under way

Cause: an eviction that came while a job's claim was still being written was answered as released at once; the job was then started a second time and met its own claim, so that its caller was told unknown. Found by reading. Ruled out: a second run (the claim prevented it).

--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -267,18 +267,24 @@
             self.fenced()
 
     def _start(self, work: Work, action: StartGang) -> None:
+        with work.lock:
+            self._start_locked(work, action)
+
+    def _start_locked(self, work: Work, action: StartGang) -> None:
+        work.attempts += 1
         if not work.body_known:
             self._cancel(work, "the request's body was lost with the VM that took it in")
             return
-        work.attempts += 1
         job = work.submit.job
         gang_id = f"{job.job_id}.{self.fence.epoch}.{self.fence.attempt}.{work.attempts}"
         gang = Gang(gang_id, job.job_id, action.placement)
+        work.gang = gang
         if not job.idempotent and not self._claim(work, gang):
+            work.gang = None
             return
-        if work.report.phase.final or self.deposed:
+        if work.report.phase.final or self.deposed or gang.closing:
+            work.gang = None
             return
-        work.gang = gang
         self._by_gang[gang_id] = work
         spec = encode(JobSpec(job, work.submit.key, action.guaranteed, self._clock.wall()))
         failure = self._runner.start(
@@ -355,10 +361,15 @@
         )
 
     def _evict(self, work: Work, action: EvictGang) -> None:
+        if work.gang is not None and not work.gang.started:
+            work.gang.closing = True  # a start under way gives up at its next step
+        with work.lock:
+            self._evict_locked(work, action)
+
+    def _evict_locked(self, work: Work, action: EvictGang) -> None:
         gang = work.gang
         if gang is None or gang.closing:
-            # The start was under way and failed by itself; nothing is held any more.
-            self._feed(GangReleased(action.job_id, 0.0))
+            self._feed(GangReleased(action.job_id, 0.0))  # nothing is held any more
             return
         ran_s = self._clock.now() - gang.started_at if gang.started else 0.0
         released = self._runner.release(gang, checkpoint=action.checkpoint)
@@ -415,7 +426,8 @@
     def _cancel(self, work: Work, reason: str) -> None:
         """End a job early; it was not run only if no gang of it may have been started."""
         job_id = work.submit.job.job_id
-        if work.gang is None and work.done_s == 0.0 and not work.run_before_s:
+        sent = work.gang is not None and work.gang.gang_id in self._by_gang
+        if not sent and work.done_s == 0.0 and not work.run_before_s:
             self._close(work, JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="wait"))
         else:
             self._close_unknown(work, reason, "run", "")
--- a/src/lacewingmill/cells/work_claims.py
+++ b/src/lacewingmill/cells/work_claims.py
@@ -2,6 +2,7 @@
 
 import attrs
 from gevent.event import Event as Signal
+from gevent.lock import BoundedSemaphore
 
 from lacewingmill.cells.gangs import Gang
 from lacewingmill.cells.journal import ClaimJournal, claim_key
@@ -17,7 +18,13 @@
 
 @attrs.define(eq=False)
 class Work:
-    """A submitted job and its present gang."""
+    """A submitted job and its present gang.
+
+    :param body_known: whether the caller's request is at hand; not after a take-over.
+    :param run_before_s: longest run of an earlier gang, in seconds.
+    :param closed_at: when the outcome was settled, in seconds; 0 before.
+    :param lock: held while a gang is started or evicted, so that the two never cross.
+    """
 
     submit: SubmitJob
     deadline: float
@@ -30,6 +37,7 @@
     claim_revision: int = 0
     closed_at: float = 0.0
     changed: Signal = attrs.field(factory=Signal)
+    lock: BoundedSemaphore = attrs.field(factory=BoundedSemaphore)
 
 
 @attrs.frozen
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -233,3 +233,19 @@
     report = cell.report("j", 0.0)
     assert report.phase is JobPhase.NOT_RUN
     assert "9 accelerators in one worker" in report.reason
+
+
+def test_job_evicted_while_its_claim_is_being_written_runs_once_and_later(world):
+    cell = world.own("a", 1)
+    world.store.down = True
+    names = [f"b{number}" for number in range(6)]
+    for name in names:
+        cell.submit(submission(name, WHOLE, idempotent=False, checkpoint=True, deadline=300.0))
+    world.clock.advance(1.0)
+    cell.submit(submission("claim", WHOLE, claims=True))
+    world.clock.advance(20.0)
+    world.store.down = False
+    world.clock.advance(60.0)
+    assert phase(cell, "claim") is JobPhase.DONE
+    assert [phase(cell, name) for name in names] == [JobPhase.DONE] * 6
+    assert {world.workers.executions[f"key-{name}"] for name in names} == {1}
