--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -5,20 +5,19 @@
 import attrs
 import gevent
 
-from lacewingmill.cells.gangs import LEASE_TTL_S, Gang, GangRunner, StartFailure
+from lacewingmill.cells.gangs import Gang, GangRunner, StartFailure
 from lacewingmill.cells.journal import ClaimJournal
-from lacewingmill.cells.messages import JobPhase, JobReport, JobSpec, SubmitJob
+from lacewingmill.cells.messages import JobPhase, JobReport, SubmitJob
+from lacewingmill.cells.orders import GangOrders
+from lacewingmill.cells.troubles import TroubleLog
 from lacewingmill.cells.work_claims import Work, WorkClaims
 from lacewingmill.cells.worker_watch import WorkerWatch
-from lacewingmill.codec import encode
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import FenceRejected, StoreUnavailable
 from lacewingmill.models import Fence, Vm
 from lacewingmill.ports import (
     ApplicationAnswer,
     Clock,
-    LeaseOrder,
-    StartOrder,
     WorkerLease,
     WorkerPort,
 )
@@ -35,7 +34,6 @@
     JobFinished,
     JobSubmitted,
     RefuseJob,
-    SlotKey,
     StartGang,
     StopGang,
     Tick,
@@ -88,8 +86,7 @@
         self._works: dict[str, Work] = {}
         self._by_gang: dict[str, Work] = {}
         self._claims = WorkClaims(parts.journal, parts.clock, parts.vm, fence)
-        self._known_closed: frozenset[str] = frozenset()
-        self._known_short: frozenset[SlotKey] = frozenset()
+        self._troubles = TroubleLog(parts.scheduler, parts.log)
         self.watch = WorkerWatch(parts.workers, parts.clock, fence, self)
         self._runner = GangRunner(parts.workers, parts.clock, fence, self.watch.find)
         self._ticker = gevent.spawn(self._tick_forever)
@@ -289,12 +286,8 @@
             work.gang = None
             return
         self._by_gang[gang_id] = work
-        spec = encode(self._job_spec(work, action.guaranteed))
-        failure = self._runner.start(
-            gang,
-            lambda rank: self._lease_order(work, gang, rank, spec),
-            lambda rank: self._start_order(work, gang, rank),
-        )
+        orders = GangOrders(work, gang, self.fence, action.guaranteed, self._clock.wall())
+        failure = self._runner.start(gang, orders.lease, orders.start)
         if failure is None:
             self._log.emit(LogEvent.GANG_STARTED, gang=gang_id, workers=gang.workers)
             work.report = JobReport(job.job_id, JobPhase.RUNNING)
@@ -337,37 +330,6 @@
             self._close_unknown(work, reason, "claim", "")
         self._feed(JobCancelled(job_id))
 
-    def _job_spec(self, work: Work, guaranteed: bool) -> JobSpec:
-        """Return what the workers keep for a new owner."""
-        submit = work.submit
-        return JobSpec(submit.job, submit.key, guaranteed, self._clock.wall(), work.done_s)
-
-    def _lease_order(self, work: Work, gang: Gang, rank: int, spec: bytes) -> LeaseOrder:
-        shape = work.submit.job.shape
-        indices = gang.placement[rank].accelerators
-        return LeaseOrder(
-            gang.gang_id,
-            self.fence,
-            indices,
-            shape.processors * len(indices),
-            shape.memory_gb * len(indices),
-            LEASE_TTL_S,
-            spec,
-            gang.workers,
-        )
-
-    def _start_order(self, work: Work, gang: Gang, rank: int) -> StartOrder:
-        submit = work.submit
-        return StartOrder(
-            gang.gang_id,
-            self.fence,
-            rank,
-            submit.body,
-            submit.content_type,
-            submit.key,
-            work.done_s,
-        )
-
     def _evict(self, work: Work, action: EvictGang) -> None:
         if work.gang is not None and not work.gang.started:
             work.gang.closing = True  # a start under way gives up at its next step
@@ -473,17 +435,4 @@
                 elif work.report.phase is JobPhase.WAITING and now >= work.deadline:
                     self._cancel(work, "the deadline passed while the job waited")
             self._feed(Tick())
-            self._log_troubles()
-
-    def _log_troubles(self) -> None:
-        """Log quarantines and guarantees in shortfall when they begin."""
-        closed = frozenset(self._scheduler.cluster.closed)
-        for worker in closed - self._known_closed:
-            self._log.emit(LogEvent.WORKER_QUARANTINED, worker=worker)
-        self._known_closed = closed
-        short = frozenset(slot.key for slot in self._scheduler.book.shortfalls())
-        for key in short - self._known_short:
-            self._log.emit(
-                LogEvent.GUARANTEE_SHORTFALL, service=key.service, team=key.team, shape=key.shape
-            )
-        self._known_short = short
+            self._troubles.look()
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -91,6 +91,12 @@
         """The configured shapes."""
         return self._state.mix
 
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """The workers that fail job after job and take none for now."""
+        failures = self._state.failures
+        return frozenset(name for name in self.cluster.closed if failures.quarantined(name))
+
     @property
     def queued(self) -> int:
         """Number of waiting jobs."""
--- a/src/lacewingmill/status.py
+++ b/src/lacewingmill/status.py
@@ -61,5 +61,5 @@
             f"{slot.key.service}/{slot.key.team}/{slot.key.shape}"
             for slot in scheduler.book.shortfalls()
         ),
-        quarantined=tuple(sorted(cluster.closed)),
+        quarantined=tuple(sorted(scheduler.quarantined)),
     )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -85,12 +85,14 @@
 class FakeWorkers:
     """Worker port over lease tables in this process.
 
-    ``silent`` workers never answer; ``executions`` counts starts of rank 0 by key.
+    ``silent`` workers never answer; ``failing`` ones fail every task;
+    ``executions`` counts starts of rank 0 by key.
     """
 
     def __init__(self, clock, vms, run_s=5.0):
         self.tables = {vm.name: LeaseTable(vm) for vm in vms}
         self.silent = set()
+        self.failing = set()
         self.lose_answers_of = set()
         self.executions = {}
         self.started = []
@@ -101,8 +103,8 @@
     def _sweep(self):
         while True:
             self._clock.sleep(0.1)
-            for table in self.tables.values():
-                for row in table.sweep(self._clock.now(), False):
+            for name, table in self.tables.items():
+                for row in table.sweep(self._clock.now(), name in self.failing):
                     row.result = b"answer to " + row.start.key.encode()
 
     def _call(self, worker, timeout_s, call):
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -249,3 +249,26 @@
     assert phase(cell, "claim") is JobPhase.DONE
     assert [phase(cell, name) for name in names] == [JobPhase.DONE] * 6
     assert {world.workers.executions[f"key-{name}"] for name in names} == {1}
+
+
+def test_silent_worker_is_not_called_quarantined(world):
+    cell = world.own("a", 1)
+    world.workers.silent.add("w0")
+    world.clock.advance(2.5)
+    scheduler = cell.driver.scheduler
+    assert "w0" in scheduler.cluster.closed
+    assert scheduler.quarantined == frozenset()
+
+
+def test_worker_that_fails_every_job_is_quarantined_and_probed(world):
+    cell = world.own("a", 1)
+    scheduler = cell.driver.scheduler
+    world.workers.failing.add("w0")
+    for number in range(24):
+        cell.submit(submission(f"j{number}", WHOLE, deadline=600.0))
+    world.clock.advance(20.0)
+    assert scheduler.quarantined == {"w0"}
+    world.workers.failing.clear()
+    world.clock.advance(90.0)
+    assert scheduler.quarantined == frozenset()
+    assert {phase(cell, f"j{number}") for number in range(24)} == {JobPhase.DONE}
