Home a guarantee in shortfall as soon as hard work in its way ends

Cause: slots in shortfall were homed anew only when workers came back or the configuration changed, so that a guarantee stayed unreclaimable, and could lose the place to new hard work, after what stood in its way had ended. Before: test_shortfall_ends_when_the_hard_work_in_its_way_ends failed.

--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -91,11 +91,13 @@
             self.count_held(job, -1)
         if record.hard:
             self.book.harden(job.shape, block, -1)
-        slot = record.slot
+        slot, was_hard = record.slot, record.hard
         record.block, record.placement, record.slot, record.hard = (), (), None, False
         if slot is not None:
             slot.holder = ""
             self._return_slot(slot, block)
+        if was_hard:
+            self.book.home_all()  # what it held may be what a slot in shortfall lacks
 
     def drop_member(self, record: JobRecord, worker: str) -> None:
         """Give back what a gang held on a lost worker, and its guarantee with it."""
