Make one piece of code serve where two stood; drop what nothing calls

Cause: a last read found read_ledger twice, the answer of a gang made in two places, two tables of deployments, and a constant and two methods without callers. Ruled out: joining the shapes in tests and imports that only look alike. Conclusion: behaviour as before.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -6,9 +6,9 @@
 
 import gevent
 
-from bench.load import CallOutcome, Load, deployment_named, judge_ledger, read_ledger
+from bench.load import CallOutcome, Load, judge_ledger, read_ledger
 from lacewingmill.client import OperatorClient
-from standins.fleet import Fleet
+from standins.fleet import DEPLOYMENTS, Fleet
 
 __all__ = ["main"]
 
@@ -31,7 +31,7 @@
 
 
 def _start(name: str) -> Fleet:
-    fleet = Fleet(deployment_named(name), BASE_PORTS[name])
+    fleet = Fleet(DEPLOYMENTS[name], BASE_PORTS[name])
     try:
         fleet.start()
         done = fleet.publish(fleet.deployment.examples)
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -11,9 +11,9 @@
 import attrs
 import gevent
 
-from bench.load import CallOutcome, LedgerVerdict, Load, deployment_named, judge_ledger, read_ledger
+from bench.load import CallOutcome, LedgerVerdict, Load, judge_ledger, read_ledger
 from lacewingmill.exceptions import TransportError
-from standins.fleet import Fleet
+from standins.fleet import DEPLOYMENTS, Fleet
 
 __all__ = ["FAULTS", "FaultReport", "Injector", "run_faults"]
 
@@ -237,7 +237,7 @@
     parser.add_argument("--base-port", type=int, default=25000)
     args = parser.parse_args()
     faults = tuple(args.faults.split(",")) if args.faults else None
-    fleet = Fleet(deployment_named(args.deployment), args.base_port)
+    fleet = Fleet(DEPLOYMENTS[args.deployment], args.base_port)
     try:
         fleet.start()
         fleet.publish(fleet.deployment.examples)
--- a/bench/load.py
+++ b/bench/load.py
@@ -14,7 +14,7 @@
 from lacewingmill.adapters.http_client import HttpCaller, HttpReply
 from lacewingmill.exceptions import TransportError
 from standins.executors import Answer, Execution
-from standins.fleet import Deployment, Fleet
+from standins.fleet import Fleet
 
 __all__ = ["Call", "CallOutcome", "LedgerVerdict", "Load", "judge_ledger", "read_ledger"]
 
@@ -220,10 +220,3 @@
             if c.kind.job and c.outcome is CallOutcome.ANSWERED and c.key not in whole
         ),
     )
-
-
-def deployment_named(name: str) -> Deployment:
-    """Return a deployment by its name."""
-    from standins.fleet import GUILD, WASCHPLAN
-
-    return {"guild": GUILD, "waschplan": WASCHPLAN}[name]
--- a/bench/vm_cost.py
+++ b/bench/vm_cost.py
@@ -8,9 +8,8 @@
 import msgspec
 import numpy as np
 
-from bench.load import deployment_named
 from lacewingmill.adapters.http_client import HttpCaller
-from standins.fleet import Fleet
+from standins.fleet import DEPLOYMENTS, Fleet
 
 __all__ = ["main"]
 
@@ -126,7 +125,7 @@
 
 def main() -> int:
     """Print all figures."""
-    fleet = Fleet(deployment_named("guild"), BASE_PORT)
+    fleet = Fleet(DEPLOYMENTS["guild"], BASE_PORT)
     try:
         fleet.start()
         fleet.publish(fleet.deployment.examples)
--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -5,7 +5,7 @@
 import attrs
 import gevent
 
-from lacewingmill.cells.gangs import Gang, GangRunner, StartFailure
+from lacewingmill.cells.gangs import Gang, GangRunner, StartFailure, gang_answer
 from lacewingmill.cells.journal import ClaimJournal
 from lacewingmill.cells.messages import JobPhase, JobReport, SubmitJob
 from lacewingmill.cells.orders import GangOrders
@@ -50,7 +50,6 @@
 
 TICK_S = 1.0
 REPORT_KEPT_S = 600.0
-GANG_CONTENT_TYPE = "application/json"
 UNKNOWN_START = "the gang was stopped after a member had run"
 
 
@@ -367,7 +366,7 @@
     def _complete(self, work: Work, gang: Gang, result: bytes) -> None:
         """Answer the caller first, then free the accelerators."""
         job = work.submit.job
-        answer = ApplicationAnswer(200, GANG_CONTENT_TYPE, result, gang.workers[0])
+        answer = gang_answer(result, gang.workers[0])
         run_s = self._clock.now() - gang.started_at + work.done_s
         self._log.emit(LogEvent.JOB_DONE, job=job.job_id, run_s=round(run_s, 3))
         self._close(work, JobReport(job.job_id, JobPhase.DONE, answer))
--- a/src/lacewingmill/cells/gangs.py
+++ b/src/lacewingmill/cells/gangs.py
@@ -12,6 +12,7 @@
 from lacewingmill.exceptions import FenceRejected, JobRefused, LacewingmillError, TransportError
 from lacewingmill.models import Fence, Vm
 from lacewingmill.ports import (
+    ApplicationAnswer,
     Clock,
     LeaseOrder,
     LeaseState,
@@ -21,12 +22,13 @@
 )
 from lacewingmill.scheduling.messages import Placement
 
-__all__ = ["Gang", "GangRunner", "ReleaseResult", "StartFailure"]
+__all__ = ["Gang", "GangRunner", "ReleaseResult", "StartFailure", "gang_answer"]
 
 LEASE_TTL_S = 10.0
 ORDER_TIMEOUT_S = 1.0
 RELEASE_TIMEOUT_S = 3.0
 RELEASE_RETRY_S = 0.5
+ANSWER_CONTENT_TYPE = "application/json"
 
 
 @attrs.define(eq=False)
@@ -188,3 +190,11 @@
                 return exc
             except TransportError:
                 self._clock.sleep(RELEASE_RETRY_S)
+
+
+def gang_answer(result: bytes, worker: str) -> ApplicationAnswer:
+    """Return the answer to the caller whose gang finished.
+
+    :param worker: the gang's first worker, which gave the result.
+    """
+    return ApplicationAnswer(200, ANSWER_CONTENT_TYPE, result, worker)
--- a/src/lacewingmill/cells/recovery.py
+++ b/src/lacewingmill/cells/recovery.py
@@ -4,12 +4,12 @@
 import gevent
 
 from lacewingmill.cells.driver import CellDriver
-from lacewingmill.cells.gangs import Gang
+from lacewingmill.cells.gangs import Gang, gang_answer
 from lacewingmill.cells.messages import JobPhase, JobReport, JobSpec, SubmitJob
 from lacewingmill.codec import decode
 from lacewingmill.exceptions import FenceRejected, TransportError
 from lacewingmill.models import Vm
-from lacewingmill.ports import ApplicationAnswer, Clock, LeaseState, WorkerLease, WorkerPort
+from lacewingmill.ports import Clock, LeaseState, WorkerLease, WorkerPort
 from lacewingmill.scheduling.messages import (
     GangRecovered,
     Member,
@@ -129,7 +129,7 @@
     submit = SubmitJob(spec.job, spec.key, b"", "", RECOVERED_DEADLINE_S)
     first = members.get(any_member.members[0])
     if first is not None and first.state == LeaseState.DONE:
-        answer = ApplicationAnswer(200, "application/json", first.result, any_member.members[0])
+        answer = gang_answer(first.result, any_member.members[0])
         driver.keep_outcome(submit, JobReport(spec.job.job_id, JobPhase.DONE, answer))
         found.ended += 1
         return False
--- a/src/lacewingmill/cells/worker_watch.py
+++ b/src/lacewingmill/cells/worker_watch.py
@@ -80,10 +80,6 @@
         """Return a live worker, or ``None`` once it is lost."""
         return self._live.get(worker)
 
-    def live(self) -> tuple[str, ...]:
-        """Return the names of the live workers."""
-        return tuple(self._live)
-
     def expect_live(self, vm: Vm) -> None:
         """Count a worker as live before its loop has run; used by the recovery."""
         self._live[vm.name] = vm
--- a/src/lacewingmill/scheduling/placement.py
+++ b/src/lacewingmill/scheduling/placement.py
@@ -15,7 +15,6 @@
 __all__ = ["PackingValue", "PlacementRules", "find_block", "stranded_share"]
 
 CANDIDATES_PER_GROUP = 32
-UNRESERVED_BONUS = 0.5
 
 
 class PackingValue:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -23,7 +23,7 @@
 from standins.vm_list import VmListStandin
 from standins.workers import WorkerStandin
 
-__all__ = ["Deployment", "Fleet", "GUILD", "WASCHPLAN"]
+__all__ = ["DEPLOYMENTS", "Deployment", "Fleet", "GUILD", "WASCHPLAN"]
 
 READY_WAIT_S = 30.0
 STOP_WAIT_S = 15.0
@@ -51,6 +51,7 @@
 
 WASCHPLAN = Deployment("waschplan", "booking", "examples/waschplan", 32, 128)
 GUILD = Deployment("guild", "plume-desk", "examples/guild", 128, 512)
+DEPLOYMENTS = {deployment.name: deployment for deployment in (WASCHPLAN, GUILD)}
 
 
 @attrs.frozen
@@ -196,10 +197,6 @@
         path = f"/{order}?name={name}"
         self.caller.call(self.ports.ledgers, "POST", path, timeout_s=5.0)
 
-    def log(self, name: str) -> str:
-        """Return what a process has written."""
-        return (Path(self._folder.name) / f"{name}.log").read_text()
-
     def stop(self) -> None:
         """Stop all processes that this fleet started."""
         processes = [*self.entries.values()]
@@ -264,10 +261,10 @@
 def main() -> None:
     """Run stand-ins from the command line."""
     parser = argparse.ArgumentParser()
-    parser.add_argument("--deployment", choices=("waschplan", "guild"), required=True)
+    parser.add_argument("--deployment", choices=tuple(DEPLOYMENTS), required=True)
     parser.add_argument("--base-port", type=int, required=True)
     args = parser.parse_args()
-    run_standins({"waschplan": WASCHPLAN, "guild": GUILD}[args.deployment], args.base_port)
+    run_standins(DEPLOYMENTS[args.deployment], args.base_port)
 
 
 if __name__ == "__main__":
--- a/tests/fleet_calls.py
+++ b/tests/fleet_calls.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lacewingmill.adapters.http_client import HttpReply
-from standins.executors import Answer, Execution
+from standins.executors import Answer
 
 TIMEOUT_S = 60.0
 
@@ -36,8 +36,3 @@
     assert answer.sha256 == hashlib.sha256(body).hexdigest()
     assert answer.length == len(body)
     return answer
-
-
-def read_ledger(fleet) -> list[Execution]:
-    reply = fleet.caller.call(fleet.ports.ledgers, "GET", "/", timeout_s=TIMEOUT_S)
-    return msgspec.json.decode(reply.body, type=list[Execution])
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,7 +1,9 @@
 """The whole path in separate processes: stand-ins, six entry VMs, balancer, command line."""
 
 import gevent
-from fleet_calls import assert_own_answer, read_ledger, send
+from fleet_calls import assert_own_answer, send
+
+from bench.load import read_ledger
 
 
 def test_stock_check_returns_its_own_answer(guild_fleet):
