Survive a bad job on a worker forgiven meanwhile; end every quarantine by its probe

Cause: FailureBook.succeed drops a worker's record. (1) A job that failed on that worker before still listed it, and its third failure elsewhere raised KeyError in the owner. (2) A job that finished on a quarantined worker dropped the quarantine with the record, while the cluster kept the worker closed: nothing opened it again. Ruled out: the state machine's own bookkeeping (the event is one that a worker may send), and keeping records for good (their number would grow with the workers ever seen). Conclusion: a success clears a quarantined worker's failures and leaves its end to the probe.

--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -97,6 +97,11 @@
         failures = self._state.failures
         return frozenset(name for name in self.cluster.closed if failures.quarantined(name))
 
+    @property
+    def silent(self) -> frozenset[str]:
+        """The workers that do not answer and take no jobs for now."""
+        return frozenset(self._state.silent)
+
     @property
     def queued(self) -> int:
         """Number of waiting jobs."""
--- a/src/lacewingmill/scheduling/suspects.py
+++ b/src/lacewingmill/scheduling/suspects.py
@@ -56,7 +56,7 @@
         record = self._workers.setdefault(worker, _Record())
         if len(failed_on) >= BAD_JOB_WORKERS:
             for other in failed_on:
-                self._workers[other].failures.pop(job_id, None)
+                self._forgive(other, job_id)
             return Verdict(True, False)
         record.failures[job_id] = now
         if record.probing:
@@ -67,9 +67,12 @@
         return Verdict(False, self._quarantine(record, rack, now))
 
     def succeed(self, job_id: str, workers: tuple[str, ...]) -> None:
-        """Take in a success: its workers are good again."""
+        """Take in a success: its workers are good again, but a quarantine ends by its probe."""
         self._jobs.pop(job_id, None)
         for worker in workers:
+            if self.quarantined(worker):
+                self._workers[worker].failures.clear()
+                continue
             self._workers.pop(worker, None)
 
     def forget_job(self, job_id: str) -> None:
@@ -103,6 +106,12 @@
         record = self._workers.get(worker)
         return record is not None and bool(record.failures)
 
+    def _forgive(self, worker: str, job_id: str) -> None:
+        """Hold a bad job's failure no longer against a worker, unless that is forgotten already."""
+        record = self._workers.get(worker)
+        if record is not None:
+            record.failures.pop(job_id, None)
+
     def _quarantine(self, record: _Record, rack: frozenset[str], now: float) -> bool:
         recent = [at for at in record.failures.values() if now - at <= FAILURE_WINDOW_S]
         if len(recent) < BAD_WORKER_JOBS:
--- a/tests/scheduler_machine.py
+++ b/tests/scheduler_machine.py
@@ -281,6 +281,11 @@
         if not excused and self.guarantees == make_guarantees(SMALL):
             assert not self.scheduler.book.shortfalls(), "a guarantee was lost without a cause"
 
+    @invariant()
+    def closed_workers_have_a_cause(self):
+        silent = self.scheduler.silent
+        assert self.scheduler.cluster.closed == silent | self.scheduler.quarantined
+
     @invariant()
     def counts_match(self):
         for node in self.scheduler.cluster.nodes.values():
