Start a claim in time across the death of the owner

Cause: no claim was timed across a take-over. Whole VMs on virtual time (new tests/test_takeover.py) show two: a caller's VM waits for a silent owner until the call's own timeout, up to 3.5 s; and the death is noticed only after 3.0 to 3.65 s (store lease and heartbeat silence of 3 s, a step each 0.25 s). Ruled out: shorter call timeouts (they cut long polls that are in order); reading lease tables with a shorter limit at the take-over (gangs on a late worker would be released as orphans). A branch in HttpCaller for calls given up was tried and dropped: the new test in tests/test_http.py passes without it, the connection is closed already. Conclusion: kept; a cell renews its lease with 2 store writes a second.

--- a/src/lacewingmill/cells/elector.py
+++ b/src/lacewingmill/cells/elector.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lacewingmill.cells.owner_signal import OwnerSignal
 from lacewingmill.cells.ownership import (
     OwnershipFacts,
     OwnershipStep,
@@ -19,9 +20,9 @@
 
 __all__ = ["Elector"]
 
-OWNER_LEASE_S = 3.0
-RENEW_EVERY_S = 1.0
-STEP_S = 0.25
+OWNER_LEASE_S = 2.0
+RENEW_EVERY_S = 0.5
+STEP_S = 0.1
 
 
 class Elector:
@@ -66,6 +67,7 @@
         self._lease = ""
         self._renewed_at = 0.0
         self.eligible = False
+        self.signal = OwnerSignal()
 
     @property
     def key(self) -> str:
@@ -89,6 +91,7 @@
         if self._heard is None or record.fence > self._heard.fence:
             self._heard = record
             self._owner_heard_at = self._clock.now()
+            self.signal.move(self.owner)
         if record.vm == from_vm and record == self._heard:
             self._owner_heard_at = self._clock.now()
 
@@ -132,8 +135,7 @@
         self.eligible = False
         if self._own is None:
             return
-        self._own = None
-        self._leave()
+        self._give_up()
         self._log.emit(LogEvent.CELL_HANDED_OVER)
         try:
             self._store.delete(self._key, expected=self._stored_revision)
@@ -143,8 +145,12 @@
     def depose(self) -> None:
         """A worker has accepted a higher fence."""
         if self._own is not None:
-            self._own = None
-            self._leave()
+            self._give_up()
+
+    def _give_up(self) -> None:
+        self._own = None
+        self._leave()
+        self.signal.move(self.owner)
 
     def _facts(self) -> OwnershipFacts:
         return OwnershipFacts(
@@ -206,6 +212,7 @@
         if not self._take(fence):
             self._own = None
             return False
+        self.signal.move(self._own)
         self._log.emit(event, fence=attrs.astuple(fence))
         return True
 
--- a/src/lacewingmill/cells/ownership.py
+++ b/src/lacewingmill/cells/ownership.py
@@ -14,10 +14,10 @@
 
 __all__ = ["Ownership", "OwnershipFacts", "OwnershipStep", "decide_ownership"]
 
-SILENT_OWNER_S = 3.0
+SILENT_OWNER_S = 2.0
 ABSENT_GRACE_S = 1.0
 RANK_DELAY_S = 0.4
-STORE_AWAY_S = 3.0
+STORE_AWAY_S = 2.0
 SUCCESSION_RANK_DELAY_S = 2.0
 
 
--- a/src/lacewingmill/composition.py
+++ b/src/lacewingmill/composition.py
@@ -64,7 +64,7 @@
     def connect(owner: OwnerRecord) -> CellPort:
         return cell if owner.vm == settings.vm else RemoteCell(caller, owner.control)
 
-    jobs = JobRouter(clock, lambda: elector.owner, connect)
+    jobs = JobRouter(clock, elector.signal, connect)
     entry = Entry(lambda: catalogue.configuration, ordinary, jobs, metrics, clock, gevent.spawn)
     operations = Operations(Publisher(store, clock), fleet)
     control = Control(cell, catalogue, heartbeats, metrics, operations, vm.status, vm.why_not_ready)
--- a/src/lacewingmill/routing/jobs.py
+++ b/src/lacewingmill/routing/jobs.py
@@ -2,12 +2,20 @@
 
 import hashlib
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import attrs
+import gevent
 
 from lacewingmill.cells.messages import JobPhase, JobReport, SubmitJob
-from lacewingmill.exceptions import JobRefused, NotOwner, OutcomeUnknown, TransportError
+from lacewingmill.cells.owner_signal import OwnerSignal
+from lacewingmill.exceptions import (
+    JobRefused,
+    LacewingmillError,
+    NotOwner,
+    OutcomeUnknown,
+    TransportError,
+)
 from lacewingmill.models import OwnerRecord
 from lacewingmill.ports import ApplicationAnswer, Clock
 from lacewingmill.routing.ordinary import CallerRequest
@@ -19,6 +27,8 @@
 RETRY_S = 0.3
 ID_DIGITS = 24
 
+Answer = TypeVar("Answer")
+
 
 class CellPort(Protocol):
     """The owner of a cell, in this process or in another."""
@@ -42,18 +52,18 @@
 class JobRouter:
     """Hands jobs to the owner, follows it when the owner changes, and returns the answer.
 
-    :param find_owner: returns the owner as far as this VM knows.
+    :param owner: the owner as far as this VM knows.
     :param connect: returns a port to an owner.
     """
 
     def __init__(
         self,
         clock: Clock,
-        find_owner: Callable[[], OwnerRecord | None],
+        owner: OwnerSignal,
         connect: Callable[[OwnerRecord], CellPort],
     ):
         self._clock = clock
-        self._find_owner = find_owner
+        self._owner = owner
         self._connect = connect
 
     def serve(self, req: CallerRequest) -> ApplicationAnswer:
@@ -91,20 +101,23 @@
         submitted_to: OwnerRecord | None = None
         ever_sent = False
         while (left := deadline - self._clock.now()) > 0:
-            owner = self._find_owner()
+            owner = self._owner.record
             if owner is None:
-                self._clock.sleep(min(RETRY_S, left))
+                self._pause(min(RETRY_S, left))
                 continue
             cell = self._connect(owner)
             try:
                 if owner != submitted_to:
                     ever_sent = True
-                    cell.submit(attrs.evolve(submit, deadline_s=left))
+                    handed_in = attrs.evolve(submit, deadline_s=left)
+                    self._ask(owner, lambda c=cell, s=handed_in: c.submit(s))
                     submitted_to = owner
-                report = cell.report(job_id, min(POLL_S, left))
+                wait_s = min(POLL_S, left)
+                report = self._ask(owner, lambda c=cell, w=wait_s: c.report(job_id, w))
             except (NotOwner, TransportError):
                 submitted_to = None
-                self._clock.sleep(min(RETRY_S, left))
+                if self._owner.record == owner:
+                    self._pause(min(RETRY_S, left))
                 continue
             if report is None:
                 submitted_to = None
@@ -118,7 +131,7 @@
         :raises NotOwner: when no owner is known.
         :raises TransportError: when it does not answer.
         """
-        return self._connect(self._owner()).report(job_id, wait_s)
+        return self._connect(self._require_owner()).report(job_id, wait_s)
 
     def cancel(self, job_id: str) -> None:
         """Give a job up.
@@ -126,10 +139,35 @@
         :raises NotOwner: when no owner is known.
         :raises TransportError: when it does not answer.
         """
-        self._connect(self._owner()).cancel(job_id)
+        self._connect(self._require_owner()).cancel(job_id)
+
+    def _ask(self, owner: OwnerRecord, call: Callable[[], Answer]) -> Answer:
+        """Make a call to the owner, and give it up once another VM owns the cell.
+
+        A dead owner may keep silent until the call's own timeout, which a claim cannot wait for.
 
-    def _owner(self) -> OwnerRecord:
-        owner = self._find_owner()
+        :raises NotOwner: the owner changed before it answered.
+        :raises TransportError: no answer.
+        """
+        changed = self._owner.changed
+        asked = gevent.spawn(_answer_or_error, call)
+        gevent.wait([asked, changed], count=1)
+        if not asked.ready():
+            asked.kill(block=False)
+            raise NotOwner("the owner of the cell changed", step="wait", peer=owner.vm)
+        if isinstance(asked.value, LacewingmillError):
+            raise asked.value
+        return asked.get()
+
+    def _pause(self, seconds: float) -> None:
+        """Wait before the next attempt, but no longer than until the owner changes."""
+        changed = self._owner.changed
+        timer = gevent.spawn(self._clock.sleep, seconds)
+        gevent.wait([timer, changed], count=1)
+        timer.kill(block=False)
+
+    def _require_owner(self) -> OwnerRecord:
+        owner = self._owner.record
         if owner is None:
             raise NotOwner("no owner of the cell is known", step="find owner")
         return owner
@@ -154,3 +192,11 @@
             return cell.report(job_id, 0.0)
         except (NotOwner, TransportError):
             return None
+
+
+def _answer_or_error(call: Callable[[], Answer]) -> Answer | LacewingmillError:
+    """Return what a call returns, or the error that it raised, for the greenlet that waits."""
+    try:
+        return call()
+    except (NotOwner, TransportError) as exc:
+        return exc
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -85,8 +85,8 @@
 class FakeWorkers:
     """Worker port over lease tables in this process.
 
-    ``silent`` workers never answer; ``failing`` ones fail every task;
-    ``executions`` counts starts of rank 0 by key.
+    ``silent`` workers never answer; ``failing`` ones fail every task; a checkpoint takes
+    ``checkpoint_s``; ``executions`` counts starts of rank 0 by key.
     """
 
     def __init__(self, clock, vms, run_s=5.0):
@@ -94,6 +94,7 @@
         self.silent = set()
         self.failing = set()
         self.lose_answers_of = set()
+        self.checkpoint_s = 0.0
         self.executions = {}
         self.started = []
         self._clock = clock
@@ -138,6 +139,8 @@
 
     def release(self, worker, gang, fence, *, checkpoint, timeout_s):
         order = ReleaseOrder(gang, fence, checkpoint)
+        if checkpoint and self.checkpoint_s and worker.name not in self.silent:
+            self._clock.sleep(self.checkpoint_s)
         return self._call(worker, timeout_s, lambda t: t.release(order, self._clock.now()))
 
     def sync(self, worker, fence, renew, *, after, wait_s):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -77,6 +77,26 @@
         assert post(caller, address, str(number).encode()).body == str(number).encode()
 
 
+def test_call_given_up_leaves_no_connection_behind(service):
+    """A call that is ended from outside closes its connection, its unread answer with it."""
+
+    def slow_first(req):
+        if req.body == b"slow":
+            gevent.sleep(0.2)
+        return HttpAnswer(200, req.body)
+
+    relay = SilentRelay("127.0.0.1:0", service(slow_first))
+    relay.start()
+    caller = HttpCaller()
+    call = gevent.spawn(post, caller, relay.address, b"slow")
+    gevent.sleep(0.1)
+    call.kill()
+    gevent.sleep(0.2)
+    assert post(caller, relay.address, b"next").body == b"next"
+    assert relay.accepted == 2
+    relay.stop()
+
+
 def test_refused_connection_is_known_to_have_sent_nothing():
     with pytest.raises(ConnectFailed):
         post(HttpCaller(), "127.0.0.1:1")
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,192 @@
+"""Guaranteed work starts in time though the cell's owner dies: whole VMs on virtual time."""
+
+import random
+
+import gevent
+import pytest
+from fakes import FakeStore, FakeWorkers, VirtualClock, make_workers
+
+from lacewingmill.adapters.peers import CALL_TIMEOUT_S, POLL_MARGIN_S
+from lacewingmill.cells.cell import Cell
+from lacewingmill.cells.driver import CellParts
+from lacewingmill.cells.elector import Elector
+from lacewingmill.cells.journal import ClaimJournal
+from lacewingmill.cells.messages import SubmitJob
+from lacewingmill.events import EventLog
+from lacewingmill.exceptions import CallTimeout, ConnectFailed, StoreUnavailable
+from lacewingmill.membership.view import FleetView, PeerState
+from lacewingmill.models import Adjacency, Guarantee, Role, Service, Shape, Team, Vm
+from lacewingmill.routing.jobs import JobRouter
+from lacewingmill.scheduling.messages import Job
+from lacewingmill.scheduling.scheduler import Scheduler
+
+START_LIMIT_S = 5.6
+CHECKPOINT_S = 1.0
+VMS = 4
+ONE = Shape("one", 1, Adjacency.WORKER, 4, 16, 1000.0)
+WHOLE = Shape("whole", 8, Adjacency.WORKER, 4, 16, 1000.0)
+SERVICES = (Service("svc", (Team("t", (Guarantee("whole", 2),)), Team("u")), (ONE, WHOLE), ()),)
+
+
+class CellOverNetwork:
+    """The port to a VM's cell as its peers see it: a dead VM refuses or keeps silent."""
+
+    def __init__(self, world, name):
+        self._world = world
+        self._vm = world.vms[name]
+
+    def _reach(self, timeout_s):
+        if not self._vm.dead:
+            return
+        if self._world.refuses:
+            raise ConnectFailed("refused", step="connect", peer=self._vm.name)
+        self._world.clock.sleep(timeout_s)
+        raise CallTimeout("no answer", step="call", peer=self._vm.name)
+
+    def submit(self, submit):
+        self._reach(CALL_TIMEOUT_S)
+        self._vm.cell.submit(submit)
+
+    def report(self, job_id, wait_s):
+        end = self._world.clock.now() + wait_s
+        while True:
+            self._reach(end - self._world.clock.now() + POLL_MARGIN_S)
+            report = self._vm.cell.report(job_id, 0.0)
+            if report is None or report.phase.final or self._world.clock.now() >= end:
+                return report
+            self._world.clock.sleep(0.05)
+
+    def cancel(self, job_id):
+        self._reach(CALL_TIMEOUT_S)
+        self._vm.cell.cancel(job_id)
+
+
+class EntryVm:
+    """Elector, cell and job router of one VM."""
+
+    def __init__(self, world, number):
+        self.name = f"vm{number}"
+        self.dead = False
+        self.fleet = FleetView(self.name)
+        journal = ClaimJournal(world.store, world.clock, self.name)
+        log = EventLog(self.name)
+        parts = CellParts(Scheduler(), world.workers, journal, world.clock, log, self.name)
+        self.cell = Cell(parts, lambda: self.elector.depose())
+        self.cell.set_workers(world.worker_vms)
+        self.cell.set_services(SERVICES)
+        self.elector = Elector(
+            "main",
+            self.name,
+            f"127.0.0.1:{number + 1}",
+            world.store,
+            world.clock,
+            log,
+            self.fleet,
+            self.cell.take,
+            self.cell.leave,
+        )
+        self.elector.eligible = True
+        self.router = JobRouter(
+            world.clock,
+            self.elector.signal,
+            lambda owner: CellOverNetwork(world, owner.vm),
+        )
+        self.loop = gevent.spawn(self.elector.run)
+
+    def die(self):
+        self.dead = True
+        self.loop.kill()
+        self.cell.leave()
+
+
+class World:
+    """The fleet, its store and its workers; watches and heartbeats are played here."""
+
+    def __init__(self, seed, *, refuses):
+        self.rng = random.Random(seed)
+        self.refuses = refuses
+        self.clock = VirtualClock()
+        self.store = FakeStore(self.clock)
+        self.worker_vms = make_workers()
+        self.workers = FakeWorkers(self.clock, self.worker_vms, 1000.0)
+        self.workers.checkpoint_s = CHECKPOINT_S
+        self.vms = {}
+        for number in range(VMS):
+            self.vms[f"vm{number}"] = EntryVm(self, number)
+        listed = tuple(Vm(name, Role.ENTRY, "127.0.0.1:1", "d") for name in self.vms)
+        for vm in self.vms.values():
+            vm.fleet.list_read(listed)
+            gevent.spawn(self._watch_store, vm)
+            gevent.spawn(self._beat, vm)
+
+    def _watch_store(self, vm):
+        while not vm.dead:
+            try:
+                vm.elector.store_changed()
+            except StoreUnavailable:
+                vm.elector.store_away()
+            self.clock.sleep(0.1)
+
+    def _beat(self, vm):
+        self.clock.sleep(self.rng.random())
+        while not vm.dead:
+            for other in self.vms.values():
+                if other is not vm and not other.dead:
+                    other.elector.hear(vm.elector.owner, vm.name)
+                    other.fleet.peer_heard(vm.name, PeerState(self.clock.now()))
+            self.clock.sleep(1.0)
+
+    @property
+    def owner(self):
+        return next(vm for vm in self.vms.values() if not vm.dead and vm.elector.is_owner)
+
+    def hand_in(self, vm, name, team, shape, *, claims):
+        job = Job(name, "svc", team, shape, claims, True, True, 0.0)
+        submit = SubmitJob(job, f"key-{name}", b"{}", "application/json", 900.0)
+        gevent.spawn(vm.router.follow, submit, self.clock.now() + 900.0)
+
+    def running(self, name):
+        rows = [item for table in self.workers.tables.values() for item in table.rows.items()]
+        return any(gang.startswith(f"{name}.") and row.state == "running" for gang, row in rows)
+
+
+def claim_delays(seed, *, refuses, trouble):
+    """Kill the owner of a full cluster; return how long each claim took to start, in seconds.
+
+    :param refuses: whether the dead VM's address refuses connections, or keeps silent.
+    :param trouble: what happens beside it: a worker falls silent, or the store goes away.
+    """
+    world = World(seed, refuses=refuses)
+    world.clock.advance(5.0)
+    owner = world.owner
+    others = [vm for vm in world.vms.values() if vm is not owner]
+    for number in range(48):
+        world.hand_in(others[number % len(others)], f"b{number}", "u", ONE, claims=False)
+    world.clock.advance(3.0 + world.rng.random())
+    claims = {"c0": -1.2 * world.rng.random(), "c1": 4.0 * world.rng.random()}
+    submitted, delays = {}, {}
+    dies_at = world.clock.now() + 1.5
+    while len(delays) < len(claims):
+        now = world.clock.now()
+        for name, offset in claims.items():
+            if name not in submitted and now >= dies_at + offset:
+                submitted[name] = now
+                world.hand_in(world.rng.choice(others), name, "t", WHOLE, claims=True)
+            if name in submitted and name not in delays and world.running(name):
+                delays[name] = now - submitted[name]
+        if not owner.dead and now >= dies_at:
+            owner.die()
+            if trouble == "silent worker":
+                world.workers.silent.add("w3")
+            world.store.down = trouble == "store down"
+        world.clock.advance(0.05)
+        assert now < dies_at + 60.0, "a claim never started"
+    return delays
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("refuses", [True, False])
+@pytest.mark.parametrize("trouble", ["", "silent worker", "store down"])
+def test_claim_starts_in_time_across_the_death_of_the_owner(seed, refuses, trouble):
+    delays = claim_delays(seed, refuses=refuses, trouble=trouble)
+    assert max(delays.values()) <= START_LIMIT_S, delays
