Keep the history of decisions in the store, committed in groups

Cause: take-overs, evictions and quarantines were log lines of whichever VM owned the cell; explain lost everything at a take-over and after ten minutes. Ruled out: a document per event (hundreds of writes a second in a burst), one growing document moved by compare-and-swap (1 MB, contention); docs/design/ownership.md has the comparison. Built: immutable batches of at most 500 entries, one write a second and VM, under own keys on a week's store lease; `history`, and `explain` that reads it back; the store lease by the hour that claims used is now shared (store_leases). Before: no history.

--- a/src/lacewingmill/cells/journal.py
+++ b/src/lacewingmill/cells/journal.py
@@ -13,11 +13,11 @@
 from lacewingmill.exceptions import StoreConflict, StoreUnavailable
 from lacewingmill.ports import Clock, Store, StoreEntry
 from lacewingmill.store_keys import CLAIM_PREFIX
+from lacewingmill.store_leases import RollingLease
 
 __all__ = ["ClaimJournal", "FoundClaim", "claim_key"]
 
 CLAIM_LEASE_S = 24 * 3600.0
-LEASE_PERIOD_S = 3600.0
 RETRY_PAUSE_S = 0.3
 ANSWER_KEPT_BYTES = 64 * 1024
 
@@ -46,8 +46,7 @@
         self._store = store
         self._clock = clock
         self._vm = vm
-        self._lease = ""
-        self._lease_until = 0.0
+        self._lease = RollingLease(store, clock, CLAIM_LEASE_S)
 
     def new_write_id(self) -> str:
         """Return an id that no other write carries."""
@@ -83,7 +82,7 @@
         if record.answer is not None and len(record.answer.body) > ANSWER_KEPT_BYTES:
             return
         try:
-            self._store.put(key, encode(record), expected=revision, lease=self._current_lease())
+            self._store.put(key, encode(record), expected=revision, lease=self._lease.current())
         except (StoreConflict, StoreUnavailable):
             # The claim itself stands; a repeated request is told that the outcome is unknown.
             return
@@ -97,7 +96,7 @@
             return
 
     def _write(self, key: str, record: ClaimRecord, expected: int) -> int:
-        lease = self._current_lease()
+        lease = self._lease.current()
         try:
             return self._store.put(key, encode(record), expected=expected, lease=lease)
         except StoreConflict:
@@ -105,10 +104,3 @@
             if found is not None and found.record.write_id == record.write_id:
                 return found.revision  # an earlier attempt took effect and its answer was lost
             raise
-
-    def _current_lease(self) -> str:
-        now = self._clock.now()
-        if now >= self._lease_until:
-            self._lease = self._store.grant_lease(CLAIM_LEASE_S)
-            self._lease_until = now + LEASE_PERIOD_S
-        return self._lease
--- a/src/lacewingmill/cells/messages.py
+++ b/src/lacewingmill/cells/messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lacewingmill.cells.history import HistoryEntry
 from lacewingmill.models import Fence
 from lacewingmill.ports import ApplicationAnswer
 from lacewingmill.scheduling.messages import Job
@@ -62,6 +63,7 @@
 
     :param answer: filled when the phase is ``DONE``.
     :param reason: filled when it is ``NOT_RUN`` or ``UNKNOWN``.
+    :param history: filled for operators only: what the store keeps about the job.
     """
 
     job_id: str
@@ -71,6 +73,7 @@
     step: str = ""
     peer: str = ""
     notes: tuple[Note, ...] = ()
+    history: tuple[HistoryEntry, ...] = ()
 
 
 @attrs.frozen
--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -5,7 +5,9 @@
 import signal
 import sys
 import uuid
+from datetime import UTC, datetime
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import gevent
 
@@ -18,6 +20,9 @@
     SettingsError,
 )
 
+if TYPE_CHECKING:
+    from lacewingmill.cells.history import HistoryEntry
+
 __all__ = ["ExitCode", "main"]
 
 
@@ -71,13 +76,18 @@
     status = _add(commands, "status", _status, "show the entry VMs and the cell")
     explain = _add(commands, "explain", _explain, "say why a job waits, runs or ended")
     explain.add_argument("job")
+    history = _add(commands, "history", _history, "list what was decided in the cell")
+    for command in (explain, history):
+        command.add_argument(
+            "--hours", type=int, default=24, help="how far back to look, at most 168"
+        )
     audit = _add(commands, "audit", _audit, "list the accepted configurations")
     _add(commands, "version", _version, "print the version")
-    for command in (publish, status, explain, audit):
+    for command in (publish, status, explain, history, audit):
         command.add_argument(
             "--to", required=True, metavar="URL", help="control address of any entry VM"
         )
-    for command in (check, publish, status, explain, audit):
+    for command in (check, publish, status, explain, history, audit):
         command.add_argument("--json", action="store_true", help="print JSON for programs")
     return parser
 
@@ -169,9 +179,9 @@
 
 
 def _explain(args: argparse.Namespace) -> int:
-    report = _client(args).job(args.job)
+    report = _client(args).explain(args.job, args.hours)
     if report is None:
-        print(f"lacewingmill: no job {args.job} is known; reports are kept for 10 minutes")
+        print(f"lacewingmill: no job {args.job} is known in the last {args.hours} hours")
         return ExitCode.FAILED
     if args.json:
         _print_json(report)
@@ -181,9 +191,28 @@
         print(f"  because {report.reason}")
     for note in report.notes:
         print(f"  {note.text}")
+    if report.history:
+        print("history:")
+        _print_history(report.history)
+    return ExitCode.OK
+
+
+def _history(args: argparse.Namespace) -> int:
+    entries = _client(args).history(args.hours)
+    if args.json:
+        _print_json(entries)
+    else:
+        _print_history(entries)
     return ExitCode.OK
 
 
+def _print_history(entries: "tuple[HistoryEntry, ...]") -> None:
+    for entry in entries:
+        at = datetime.fromtimestamp(entry.at, UTC).isoformat(timespec="milliseconds")
+        job = f" job {entry.job}:" if entry.job else ""
+        print(f"  {at} {entry.vm} {entry.number} {entry.event}{job} {entry.detail}")
+
+
 def _audit(args: argparse.Namespace) -> int:
     indexes = _client(args).audit()
     if args.json:
--- a/src/lacewingmill/client.py
+++ b/src/lacewingmill/client.py
@@ -1,12 +1,16 @@
 """The operators' side of the control address, for the command line."""
 
 import time
+from urllib.parse import quote
 
+import attrs
 import msgspec
 
 from lacewingmill.adapters.http_client import HttpCaller, HttpReply
-from lacewingmill.cells.messages import JobReport
+from lacewingmill.cells.history import HistoryEntry
+from lacewingmill.cells.messages import JobPhase, JobReport
 from lacewingmill.codec import decode, encode
+from lacewingmill.events import LogEvent
 from lacewingmill.exceptions import (
     CatalogueError,
     DocumentInvalid,
@@ -21,9 +25,16 @@
 
 CALL_TIMEOUT_S = 20.0
 PROBE_TIMEOUT_S = 2.0
+HISTORY_TIMEOUT_S = 10.0
 IN_FORCE_WAIT_S = 10.0
 IN_FORCE_POLL_S = 0.1
 
+PHASE_BY_EVENT = {
+    LogEvent.JOB_DONE.number: JobPhase.DONE,
+    LogEvent.JOB_REFUSED.number: JobPhase.NOT_RUN,
+    LogEvent.JOB_UNKNOWN.number: JobPhase.UNKNOWN,
+}
+
 
 class OperatorClient:
     """Speaks to entry VMs.
@@ -110,19 +121,53 @@
             return decode(reply.body, JobReport)
         return None
 
+    def explain(self, job_id: str, hours: int) -> JobReport | None:
+        """Return what is known of a job: the owner's report, and what the store keeps.
+
+        The store is left out while it does not answer.
+
+        :return: ``None`` when neither has heard of the job.
+        """
+        report = self.job(job_id)
+        try:
+            entries = self.history(hours, job_id)
+        except PeerError:
+            return report
+        if report is None and entries:
+            report = _past_report(job_id, entries)
+        return attrs.evolve(report, history=entries) if report else None
+
+    def history(self, hours: int, job_id: str = "") -> tuple[HistoryEntry, ...]:
+        """Return what was decided in the cell during the last hours, oldest first.
+
+        :param job_id: only what concerns this job; everything when empty.
+        :raises PeerError: when the VM or the store does not answer.
+        """
+        path = f"/operate/history?hours={hours}&job={quote(job_id)}"
+        reply = self._get(self._address, path, HISTORY_TIMEOUT_S)
+        return decode(reply.body, tuple[HistoryEntry, ...])
+
     def audit(self) -> tuple[CatalogueIndex, ...]:
         """Return all accepted revisions, oldest first."""
         reply = self._get(self._address, "/operate/audit")
         return decode(reply.body, tuple[CatalogueIndex, ...])
 
-    def _get(self, address: str, path: str) -> HttpReply:
-        reply = self._caller.call(address, "GET", path, timeout_s=PROBE_TIMEOUT_S)
+    def _get(self, address: str, path: str, timeout_s: float = PROBE_TIMEOUT_S) -> HttpReply:
+        reply = self._caller.call(address, "GET", path, timeout_s=timeout_s)
         if reply.status != 200:
             message = reply.body.decode("utf-8", "replace") or f"answered {reply.status}"
             raise PeerError(message, step=path, peer=address)
         return reply
 
 
+def _past_report(job_id: str, entries: tuple[HistoryEntry, ...]) -> JobReport:
+    """Return the report of a job that only the history knows."""
+    phases = [PHASE_BY_EVENT[entry.number] for entry in entries if entry.number in PHASE_BY_EVENT]
+    if phases:
+        return JobReport(job_id, phases[-1], reason="only the history of the cell knows it")
+    return JobReport(job_id, JobPhase.UNKNOWN, reason="the history has no outcome of it")
+
+
 def _publish_result(reply: HttpReply, member: FleetMember) -> PublishResult:
     text = reply.body.decode("utf-8", "replace")
     if reply.status == 200:
--- a/src/lacewingmill/composition.py
+++ b/src/lacewingmill/composition.py
@@ -16,6 +16,7 @@
 from lacewingmill.cells.cell import Cell
 from lacewingmill.cells.driver import CellParts
 from lacewingmill.cells.elector import Elector
+from lacewingmill.cells.history import History
 from lacewingmill.cells.journal import ClaimJournal
 from lacewingmill.control import Control
 from lacewingmill.entry import Entry
@@ -36,9 +37,10 @@
 def build_vm(settings: Settings) -> EntryVm:
     """Build an entry VM from its settings."""
     clock = GeventClock()
-    log = EventLog(settings.vm)
     caller = HttpCaller()
     store = HttpStore(settings.store, caller)
+    history = History(store, clock, settings.vm, settings.cell)
+    log = EventLog(settings.vm, history.note)
     fleet = FleetView(settings.vm)
     metrics = Metrics(settings.vm)
     rng = random.Random()
@@ -66,7 +68,7 @@
 
     jobs = JobRouter(clock, elector.signal, connect)
     entry = Entry(lambda: catalogue.configuration, ordinary, jobs, metrics, clock, gevent.spawn)
-    operations = Operations(Publisher(store, clock), fleet)
+    operations = Operations(Publisher(store, clock), fleet, history)
     control = Control(cell, catalogue, heartbeats, metrics, operations, vm.status, vm.why_not_ready)
 
     def crashed(exc: BaseException) -> None:
@@ -94,5 +96,7 @@
         "1 while this VM owns the cell",
         lambda: float(elector.is_owner),
     )
-    vm.attach(catalogue, cell, elector, heartbeats, ordinary, entry_service, control_service)
+    vm.attach(
+        catalogue, cell, elector, history, heartbeats, ordinary, entry_service, control_service
+    )
     return vm
--- a/src/lacewingmill/control.py
+++ b/src/lacewingmill/control.py
@@ -17,6 +17,7 @@
 )
 from lacewingmill.catalogue.current import CurrentCatalogue
 from lacewingmill.cells.cell import Cell
+from lacewingmill.cells.history import HistoryEntry
 from lacewingmill.cells.messages import SubmitJob
 from lacewingmill.codec import decode, encode, encode_json
 from lacewingmill.exceptions import (
@@ -33,6 +34,7 @@
 __all__ = ["Control"]
 
 LONGEST_WAIT_S = 30.0
+LONGEST_HISTORY_H = 7 * 24
 CELL_JOBS = "/cell/jobs"
 BINARY = "application/msgpack"
 
@@ -96,6 +98,8 @@
                 return HttpAnswer(200, encode(result), BINARY)
             if req.path == "/operate/audit":
                 return HttpAnswer(200, encode(self._operations.audit()), BINARY)
+            if req.path == "/operate/history":
+                return HttpAnswer(200, encode(self._read_history(req)), BINARY)
             if req.path == "/operate/fleet":
                 return HttpAnswer(200, encode(self._operations.fleet()), BINARY)
         except LacewingmillError as exc:
@@ -104,6 +108,11 @@
             return HttpAnswer(400, str(exc).encode(), "text/plain")
         return HttpAnswer(404)
 
+    def _read_history(self, req: HttpRequest) -> tuple[HistoryEntry, ...]:
+        query = parse_qs(req.query)
+        hours = int(query.get("hours", ["24"])[0])
+        return self._operations.history(min(hours, LONGEST_HISTORY_H), query.get("job", [""])[0])
+
     def _guard(self, req: HttpRequest) -> HttpAnswer:
         """Check a request between own processes, and mark its answer with id and digest."""
         if req.headers.get(DIGEST_HEADER, digest_of(req.body)) != digest_of(req.body):
--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -2,11 +2,12 @@
 
 import enum
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import structlog
 
-__all__ = ["EventLog", "LogEvent", "configure_logging"]
+__all__ = ["EventListener", "EventLog", "LogEvent", "configure_logging"]
 
 
 class LogEvent(enum.Enum):
@@ -51,19 +52,26 @@
         self.meaning = meaning
 
 
+EventListener = Callable[[LogEvent, dict[str, Any]], None]
+
+
 class EventLog:
     """Writes numbered events.
 
     :param vm: name of this VM, part of every line.
+    :param listener: is told about each event as well; nobody by default.
     """
 
-    def __init__(self, vm: str):
+    def __init__(self, vm: str, listener: EventListener | None = None):
         self._logger = structlog.get_logger().bind(vm=vm)
+        self._listener = listener
 
     def emit(self, event: LogEvent, **fields: Any) -> None:
         """Write one event with its fields."""
         write = getattr(self._logger, event.level)
         write(event.name.lower(), number=event.number, **fields)
+        if self._listener is not None:
+            self._listener(event, fields)
 
 
 def configure_logging() -> None:
--- a/src/lacewingmill/operations.py
+++ b/src/lacewingmill/operations.py
@@ -5,6 +5,7 @@
 from lacewingmill.catalogue.documents import check_services
 from lacewingmill.catalogue.packing import check_packing
 from lacewingmill.catalogue.publisher import Publisher
+from lacewingmill.cells.history import History, HistoryEntry
 from lacewingmill.exceptions import DocumentInvalid
 from lacewingmill.membership.view import FleetView
 from lacewingmill.models import CatalogueIndex, Role, Service
@@ -55,9 +56,10 @@
 class Operations:
     """Carries operators' orders out."""
 
-    def __init__(self, publisher: Publisher, fleet: FleetView):
+    def __init__(self, publisher: Publisher, fleet: FleetView, history: History):
         self._publisher = publisher
         self._fleet = fleet
+        self._history = history
 
     def publish(self, order: PublishOrder) -> PublishResult:
         """Check a configuration against the live workers and publish it.
@@ -81,6 +83,14 @@
         """
         return tuple(self._publisher.audit())
 
+    def history(self, hours: int, job: str) -> tuple[HistoryEntry, ...]:
+        """Return what was decided in the cell during the last hours, oldest first.
+
+        :param job: only what concerns this job; everything when empty.
+        :raises StoreUnavailable: when the store does not answer.
+        """
+        return self._history.read(hours, job)
+
     def fleet(self) -> Fleet:
         """Return the live entry VMs."""
         members = (FleetMember(vm.name, vm.control) for vm in self._fleet.targets(Role.ENTRY))
--- a/src/lacewingmill/store_keys.py
+++ b/src/lacewingmill/store_keys.py
@@ -8,6 +8,7 @@
     "CLAIM_PREFIX",
     "DOCUMENT_PREFIX",
     "EPOCH_PREFIX",
+    "HISTORY_PREFIX",
     "INDEX_KEY",
     "LIVE_PREFIX",
     "OWNER_PREFIX",
@@ -20,3 +21,4 @@
 DOCUMENT_PREFIX = "lacewingmill/documents/"
 AUDIT_PREFIX = "lacewingmill/audit/"
 CLAIM_PREFIX = "lacewingmill/claims/"
+HISTORY_PREFIX = "lacewingmill/history/"
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -10,6 +10,7 @@
 from lacewingmill.catalogue.current import Configuration, CurrentCatalogue
 from lacewingmill.cells.cell import Cell
 from lacewingmill.cells.elector import Elector
+from lacewingmill.cells.history import History
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import PeerError, StoreUnavailable, TransportError
 from lacewingmill.membership.heartbeats import Heartbeats
@@ -63,6 +64,7 @@
         catalogue: CurrentCatalogue,
         cell: Cell,
         elector: Elector,
+        history: History,
         heartbeats: Heartbeats,
         ordinary: OrdinaryRouter,
         entry_service: HttpService,
@@ -72,6 +74,7 @@
         self._catalogue = catalogue
         self._cell = cell
         self._elector = elector
+        self._history = history
         self._heartbeats = heartbeats
         self._ordinary = ordinary
         self._entry_service = entry_service
@@ -86,6 +89,7 @@
             self._follow_store,
             self._heartbeats.run,
             self._elector.run,
+            self._history.run,
             self._ordinary.run,
             self._follow_readiness,
         ):
@@ -250,5 +254,6 @@
             self._clock.sleep(STOP_POLL_S)
         self._entry_service.close()
         self._control_service.close()
+        self._history.commit()
         self._log.emit(LogEvent.VM_STOPPED)
         self._stopped.set()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -66,7 +66,9 @@
     assert err.replace(str(tmp_path), "DIR") == snapshot
 
 
-@pytest.mark.parametrize("command", ["", "serve", "check", "publish", "status", "explain", "audit"])
+@pytest.mark.parametrize(
+    "command", ["", "serve", "check", "publish", "status", "explain", "history", "audit"]
+)
 def test_help(command, capsys, snapshot, monkeypatch):
     monkeypatch.setenv("COLUMNS", "90")
     monkeypatch.setenv("LOGNAME", "operator")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,6 +10,7 @@
 import msgspec
 from fleet_calls import assert_own_answer, send
 
+from bench.faults import find_owner
 from lacewingmill.client import OperatorClient
 from lacewingmill.codec import encode_json
 from lacewingmill.models import Role, VmState
@@ -18,6 +19,7 @@
 
 LEAVING_KNOWN_S = 4.0
 READY_WAIT_S = 20.0
+HISTORY_COMMITTED_S = 2.5
 
 
 def command(fleet, *argv):
@@ -133,3 +135,24 @@
         assert_own_answer(reply, b"{}", "s")
     finally:
         guild_fleet.fault(guild_fleet.ports.store, {"down": False})
+
+
+def test_history_and_explanation_outlive_the_owner(guild_fleet):
+    body = b'{"run_s": 0.2}'
+    send(guild_fleet, "/plume-desk/dye", "undertakers", body, key="remembered")
+    job_id = make_job_id("plume-desk", "undertakers", "remembered")
+    gevent.sleep(HISTORY_COMMITTED_S)
+    owner = find_owner(guild_fleet)
+    guild_fleet.entries[owner].kill()
+    guild_fleet.entries[owner].wait()
+    assert find_owner(guild_fleet) != owner
+    guild_fleet.start_entry(owner)
+    guild_fleet._wait_for(guild_fleet.ports.control(owner), "/ready")
+    explained = command(guild_fleet, "explain", job_id)
+    assert explained.returncode == 0, explained.stdout + explained.stderr
+    assert "gang_started" in explained.stdout
+    assert "job_done" in explained.stdout
+    gevent.sleep(HISTORY_COMMITTED_S)
+    entries = json.loads(command(guild_fleet, "history", "--json").stdout)
+    takers = [entry["vm"] for entry in entries if entry["event"] == "cell_taken"]
+    assert len(set(takers)) >= 2, takers
--- a/tests/test_vm.py
+++ b/tests/test_vm.py
@@ -28,7 +28,7 @@
     )
     clock, fleet, catalogue = VirtualClock(), FleetView("a"), Stub()
     vm = EntryVm(load_settings(path), clock, EventLog("a"), None, Stub(), None, fleet)
-    vm.attach(catalogue, None, None, None, None, None, None)
+    vm.attach(catalogue, None, None, None, None, None, None, None)
     return vm, clock, fleet, catalogue
 
 
