Let gangs on a leaving worker run to their end

Cause: entry VMs passed only live workers on to the cell, so that a worker which the list called leaving was dropped like a lost one, and its gangs with it: a planned replacement of a worker turned a running non-idempotent job into an unknown outcome. Ruled out: moving checkpointable gangs off a leaving worker (the list gives no time by which it goes). Now a leaving worker is closed for placements and reservations, its gangs are renewed and end there, also under a new owner; publishing packs guarantees into workers that stay. Before: tests/test_fleet.py::test_leaving_worker_ends_its_gangs_and_gets_no_new_ones got 504 unknown ("worker was lost while the job ran"). After: it passes; three tests of the driver; the state machine has the event and checks that no running work is cut and nothing starts on a leaving worker, shown failing on a planted fault (places on closed workers); 300 random examples of each machine pass. Tests of machine, fleet, driver, take-over, whole path, catalogue and docs: 79 passed.

--- a/src/lacewingmill/catalogue/packing.py
+++ b/src/lacewingmill/catalogue/packing.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from lacewingmill.models import Role, Service, Shape, Vm
+from lacewingmill.models import Role, Service, Shape, Vm, VmState
 from lacewingmill.scheduling.messages import (
     GuaranteedSlots,
     GuaranteesChanged,
@@ -46,8 +46,8 @@
 
 
 def check_packing(services: tuple[Service, ...], vms: tuple[Vm, ...]) -> PackingReport:
-    """Pack all guarantees into the workers of the VM list."""
-    workers = [vm for vm in vms if vm.role is Role.WORKER]
+    """Pack all guarantees into the live workers of the VM list."""
+    workers = [vm for vm in vms if vm.role is Role.WORKER and vm.state is VmState.LIVE]
     guarantees = guarantees_of(services)
     missing = _unpacked(guarantees, workers)
     fragile: tuple[str, ...] = ()
--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -14,7 +14,7 @@
 from lacewingmill.cells.worker_watch import WorkerWatch
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import FenceRejected, StoreUnavailable
-from lacewingmill.models import Fence, Vm
+from lacewingmill.models import Fence, Vm, VmState
 from lacewingmill.ports import (
     ApplicationAnswer,
     Clock,
@@ -39,6 +39,7 @@
     Tick,
     WorkerAnswered,
     WorkerJoined,
+    WorkerLeaving,
     WorkerLost,
     WorkerSilent,
     worker_node,
@@ -201,7 +202,11 @@
     def worker_joined(self, vm: Vm) -> None:
         """A worker's lease table is known and holds no orphans."""
         self._log.emit(LogEvent.WORKER_JOINED, worker=vm.name)
-        self._feed(WorkerJoined(worker_node(vm)))
+        self._feed(WorkerJoined(worker_node(vm), vm.state is VmState.LEAVING))
+
+    def worker_leaving(self, worker: str, *, stays: bool) -> None:
+        """A worker is leaving, or stays after all; its gangs run on."""
+        self._feed(WorkerLeaving(worker, stays))
 
     def worker_silent(self, worker: str) -> None:
         """A worker did not answer in time."""
--- a/src/lacewingmill/cells/recovery.py
+++ b/src/lacewingmill/cells/recovery.py
@@ -8,7 +8,7 @@
 from lacewingmill.cells.messages import JobPhase, JobReport, JobSpec, SubmitJob
 from lacewingmill.codec import decode
 from lacewingmill.exceptions import FenceRejected, TransportError
-from lacewingmill.models import Vm
+from lacewingmill.models import Vm, VmState
 from lacewingmill.ports import Clock, LeaseState, WorkerLease, WorkerPort
 from lacewingmill.scheduling.messages import (
     GangRecovered,
@@ -113,7 +113,7 @@
 
 def _join(driver: CellDriver, vm: Vm) -> None:
     driver.watch.expect_live(vm)
-    driver.feed(WorkerJoined(worker_node(vm)))
+    driver.feed(WorkerJoined(worker_node(vm), vm.state is VmState.LEAVING))
 
 
 def _take_gang(
--- a/src/lacewingmill/cells/worker_watch.py
+++ b/src/lacewingmill/cells/worker_watch.py
@@ -5,7 +5,7 @@
 import gevent
 
 from lacewingmill.exceptions import FenceRejected, TransportError
-from lacewingmill.models import Fence, Vm
+from lacewingmill.models import Fence, Vm, VmState
 from lacewingmill.ports import Clock, SyncAnswer, WorkerLease, WorkerPort
 
 __all__ = ["WatchListener", "WorkerWatch"]
@@ -32,6 +32,9 @@
     def worker_joined(self, vm: Vm) -> None:
         """A worker's lease table is known."""
 
+    def worker_leaving(self, worker: str, *, stays: bool) -> None:
+        """A live worker is leaving, or stays after all."""
+
     def worker_silent(self, worker: str) -> None:
         """A worker did not answer in time; it may be lost soon."""
 
@@ -64,17 +67,22 @@
     def set_workers(self, vms: tuple[Vm, ...]) -> None:
         """Follow these workers and no others.
 
-        :param vms: live workers by the VM list and own signals; leaving ones are kept as long as
-            they hold gangs, which the scheduler is told by the loss of the worker.
+        :param vms: the workers of the VM list; leaving ones are followed until the list drops
+            them, so that their gangs can end.
         """
         wanted = {vm.name: vm for vm in vms}
         for name in list(self._known):
             if name not in wanted or wanted[name].address != self._known[name].address:
                 self._drop(name)
         for name, vm in wanted.items():
-            if name not in self._known and not self._stopped:
-                self._known[name] = vm
+            before = self._known.get(name)
+            if self._stopped:
+                return
+            self._known[name] = vm
+            if before is None:
                 self._loops[name] = gevent.spawn(self._follow, vm)
+            elif before.state is not vm.state and name in self._live:
+                self._listener.worker_leaving(name, stays=vm.state is VmState.LIVE)
 
     def find(self, worker: str) -> Vm | None:
         """Return a live worker, or ``None`` once it is lost."""
@@ -146,7 +154,7 @@
                 return False
         if vm.name not in self._live and vm.name in self._known:
             self._live[vm.name] = vm
-            self._listener.worker_joined(vm)
+            self._listener.worker_joined(self._known[vm.name])
         return True
 
     def _release_orphan(self, vm: Vm, gang: str) -> bool:
--- a/src/lacewingmill/membership/view.py
+++ b/src/lacewingmill/membership/view.py
@@ -77,6 +77,11 @@
             )
         )
 
+    def workers(self) -> tuple[Vm, ...]:
+        """Return the workers of the list, also the leaving ones, sorted by name."""
+        workers = (vm for vm in self._vms.values() if vm.role is Role.WORKER)
+        return tuple(sorted(workers, key=lambda vm: vm.name))
+
     def peers(self) -> tuple[Vm, ...]:
         """Return the other entry VMs, also those the list calls leaving."""
         return tuple(
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -36,6 +36,7 @@
     "WorkerJoined",
     "WorkerLost",
     "WorkerNode",
+    "WorkerLeaving",
     "WorkerSilent",
     "block_name",
     "worker_node",
@@ -202,9 +203,13 @@
 
 @attrs.frozen
 class WorkerJoined(Event):
-    """A worker is live."""
+    """A worker is live and its lease table is known.
+
+    :param leaving: whether it is about to leave, so that it gets nothing new.
+    """
 
     node: WorkerNode
+    leaving: bool = False
 
 
 @attrs.frozen
@@ -214,6 +219,17 @@
     worker: str
 
 
+@attrs.frozen
+class WorkerLeaving(Event):
+    """A worker is leaving, or stays after all; its gangs run on, but it gets nothing new.
+
+    :param stays: whether it is not leaving any more.
+    """
+
+    worker: str
+    stays: bool = False
+
+
 @attrs.frozen
 class WorkerAnswered(Event):
     """A worker answers again."""
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -31,6 +31,7 @@
     Tick,
     WorkerAnswered,
     WorkerJoined,
+    WorkerLeaving,
     WorkerLost,
     WorkerSilent,
     block_name,
@@ -102,6 +103,11 @@
         """The workers that do not answer and take no jobs for now."""
         return frozenset(self._state.silent)
 
+    @property
+    def leaving(self) -> frozenset[str]:
+        """The workers that are leaving; their gangs run on."""
+        return frozenset(self._state.leaving)
+
     @property
     def queued(self) -> int:
         """Number of waiting jobs."""
@@ -199,6 +205,10 @@
         if event.node.worker in self._state.cluster.nodes:
             return
         self._state.cluster.add(event.node)
+        if event.leaving:
+            self._state.leaving.add(event.node.worker)
+            self._state.cluster.forget(event.node.worker)
+            self._state.cluster.close(event.node.worker)
         self._state.book.home_all()
         self._state.reservation = None
 
@@ -215,6 +225,7 @@
         self._state.book.leave(event.worker)
         self._state.cluster.remove(event.worker)
         self._state.silent.discard(event.worker)
+        self._state.leaving.discard(event.worker)
         self._state.book.home_all()
         self._state.reservation = None
 
@@ -230,9 +241,22 @@
         if event.worker not in self._state.silent:
             return
         self._state.silent.discard(event.worker)
-        if not self._state.failures.quarantined(event.worker):
-            self._state.cluster.open(event.worker)
-            self._state.book.home_all()
+        self._state.open_worker(event.worker)
+
+    @_apply.register
+    def _(self, event: WorkerLeaving, now: float) -> None:
+        state = self._state
+        node = state.cluster.nodes.get(event.worker)
+        if node is None:
+            return
+        if event.stays:
+            state.leaving.discard(event.worker)
+            state.cluster.known(node.info)
+            state.open_worker(event.worker)
+            return
+        state.leaving.add(event.worker)
+        state.cluster.forget(event.worker)
+        state.close_worker(event.worker, now)
 
     @_apply.register
     def _(self, event: GuaranteesChanged, now: float) -> None:
@@ -294,9 +318,7 @@
 
     def _open_probes(self, now: float) -> None:
         for worker in self._state.failures.due_probes(now):
-            if worker in self._state.cluster.nodes and worker not in self._state.silent:
-                self._state.cluster.open(worker)
-                self._state.book.home_all()
+            self._state.open_worker(worker)
 
     def _lose_gang(self, record: JobRecord, worker: str, now: float) -> None:
         """A member's worker is gone: the gang ends whole, and runs again only if idempotent."""
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -41,6 +41,7 @@
         self.reservation: Reservation | None = None
         self.moving: dict[str, str] = {}
         self.silent: set[str] = set()
+        self.leaving: set[str] = set()
         self.actions: list[Action] = []
 
     def start(self, record: JobRecord, block: Block, now: float) -> None:
@@ -125,6 +126,14 @@
         self.drop_pending_on(worker, now)
         self.reservation = None
 
+    def open_worker(self, worker: str) -> None:
+        """Let placements use a worker again, unless another cause keeps it closed."""
+        closed = worker in self.silent or worker in self.leaving
+        if closed or self.failures.quarantined(worker) or worker not in self.cluster.nodes:
+            return
+        self.cluster.open(worker)
+        self.book.home_all()
+
     def _return_slot(self, slot: Slot, block: Block) -> None:
         if slot.retired:
             return
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -191,7 +191,7 @@
         for service in self._catalogue.configuration.services:
             executors = self._fleet.targets(Role.EXECUTOR, service.name)
             self._ordinary.set_targets(service.name, executors, entries)
-        self._cell.set_workers(self._fleet.targets(Role.WORKER))
+        self._cell.set_workers(self._fleet.workers())
 
     def _follow_store(self) -> None:
         """Keep one waiting watch for the index and the owner record."""
--- a/tests/scheduler_machine.py
+++ b/tests/scheduler_machine.py
@@ -27,6 +27,7 @@
     Tick,
     WorkerAnswered,
     WorkerJoined,
+    WorkerLeaving,
     WorkerLost,
     WorkerNode,
     WorkerSilent,
@@ -90,6 +91,8 @@
 
     def take(self, action):
         if isinstance(action, StartGang):
+            workers = {member.worker for member in action.placement}
+            assert not workers & self.scheduler.leaving, "a leaving worker got new work"
             self.starting[action.job_id] = action
         elif isinstance(action, EvictGang):
             record = self.scheduler.records[action.job_id]
@@ -209,6 +212,16 @@
         if answers:
             self.feed(WorkerAnswered(f"w{number}"))
 
+    @rule(number=st.integers(0, WORKERS - 1), stays=st.booleans())
+    def worker_leaves(self, number, stays):
+        """The worker's gangs run on; later it may turn out to stay."""
+        self.ever_away = True
+        running = {j for j in self.running() if f"w{number}" in self.scheduler.records[j].workers}
+        self.feed(WorkerLeaving(f"w{number}"))
+        assert running <= set(self.running()), "work on a leaving worker was cut"
+        if stays:
+            self.feed(WorkerLeaving(f"w{number}", stays=True))
+
     @rule(large=st.booleans())
     def configure(self, large):
         self.guarantees = make_guarantees(LARGE if large else SMALL)
@@ -283,8 +296,9 @@
 
     @invariant()
     def closed_workers_have_a_cause(self):
-        silent = self.scheduler.silent
-        assert self.scheduler.cluster.closed == silent | self.scheduler.quarantined
+        scheduler = self.scheduler
+        causes = scheduler.silent | scheduler.quarantined | scheduler.leaving
+        assert scheduler.cluster.closed == causes
 
     @invariant()
     def counts_match(self):
@@ -304,6 +318,9 @@
     def worker_silent(self):
         """Not a rule here."""
 
+    def worker_leaves(self):
+        """Not a rule here."""
+
     def owner_changes(self):
         """Not a rule here."""
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -10,7 +10,7 @@
 from lacewingmill.cells.messages import JobPhase, SubmitJob
 from lacewingmill.events import EventLog
 from lacewingmill.exceptions import NotOwner
-from lacewingmill.models import Adjacency, Fence, Guarantee, Service, Shape, Team
+from lacewingmill.models import Adjacency, Fence, Guarantee, Service, Shape, Team, VmState
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.scheduler import Scheduler
 
@@ -251,6 +251,58 @@
     assert {world.workers.executions[f"key-{name}"] for name in names} == {1}
 
 
+def leave(world, cell, *names):
+    leaving = [
+        attrs.evolve(vm, state=VmState.LEAVING) if vm.name in names else vm for vm in world.vms
+    ]
+    world.vms = tuple(leaving)
+    cell.set_workers(world.vms)
+
+
+def test_gang_on_a_leaving_worker_ends_and_nothing_new_starts_there(world):
+    cell = world.own("a", 1)
+    cell.submit(submission("j", WIDE, idempotent=False))
+    world.clock.advance(1.0)
+    leaving = {worker for _, worker in world.workers.started}
+    leave(world, cell, *leaving)
+    for number in range(8):
+        cell.submit(submission(f"n{number}", WHOLE, deadline=600.0))
+    world.clock.advance(60.0)
+    assert phase(cell, "j") is JobPhase.DONE
+    assert world.workers.executions["key-j"] == 1
+    assert {phase(cell, f"n{number}") for number in range(8)} == {JobPhase.DONE}
+    others = {worker for gang, worker in world.workers.started if not gang.startswith("j.")}
+    assert not others & leaving
+
+
+def test_new_owner_knows_which_workers_are_leaving(world):
+    cell = world.own("a", 1)
+    cell.submit(submission("j", WIDE, idempotent=False))
+    world.clock.advance(1.0)
+    leaving = {worker for _, worker in world.workers.started}
+    leave(world, cell, *leaving)
+    new = world.own("b", 2)
+    new.submit(submission("n", WIDE, deadline=600.0))
+    world.clock.advance(30.0)
+    assert phase(new, "j") is JobPhase.DONE
+    assert phase(new, "n") is JobPhase.DONE
+    others = {worker for gang, worker in world.workers.started if gang.startswith("n.")}
+    assert others and not others & leaving
+
+
+def test_worker_that_stays_after_all_is_used_again(world):
+    cell = world.own("a", 1)
+    everyone = [vm.name for vm in world.vms]
+    leave(world, cell, *everyone)
+    cell.submit(submission("n", WHOLE, deadline=600.0))
+    world.clock.advance(5.0)
+    assert phase(cell, "n") is JobPhase.WAITING
+    world.vms = tuple(attrs.evolve(vm, state=VmState.LIVE) for vm in world.vms)
+    cell.set_workers(world.vms)
+    world.clock.advance(10.0)
+    assert phase(cell, "n") is JobPhase.DONE
+
+
 def test_silent_worker_is_not_called_quarantined(world):
     cell = world.own("a", 1)
     world.workers.silent.add("w0")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,6 +11,7 @@
 from fleet_calls import assert_own_answer, send
 
 from bench.faults import find_owner
+from bench.load import read_ledger
 from lacewingmill.client import OperatorClient
 from lacewingmill.codec import encode_json
 from lacewingmill.models import Role, VmState
@@ -156,3 +157,27 @@
     entries = json.loads(command(guild_fleet, "history", "--json").stdout)
     takers = [entry["vm"] for entry in entries if entry["event"] == "cell_taken"]
     assert len(set(takers)) >= 2, takers
+
+
+def test_leaving_worker_ends_its_gangs_and_gets_no_new_ones(guild_fleet):
+    body = b'{"run_s": 6.0}'
+    calls = [
+        gevent.spawn(send, guild_fleet, "/plume-desk/dye", "kingston-workshop", body, key=f"d{n}")
+        for n in range(2)
+    ]
+    gevent.sleep(1.0)
+    leaving = {row.who for row in read_ledger(guild_fleet) if row.key in ("d0", "d1")}
+    assert len(leaving) == 2
+    for vm in list_vms(guild_fleet.deployment, guild_fleet.ports):
+        if vm.name in leaving:
+            change = encode_json(attrs.evolve(vm, state=VmState.LEAVING))
+            guild_fleet.caller.call(
+                guild_fleet.ports.vm_list, "PUT", "/vms", body=change, timeout_s=5.0
+            )
+    gevent.sleep(LEAVING_KNOWN_S)
+    for number in range(30):
+        key = f"match-{number}"
+        reply = send(guild_fleet, "/plume-desk/match", "member-workshops", b"{}", key=key)
+        assert assert_own_answer(reply, b"{}", key).answered_by not in leaving
+    for number, call in enumerate(calls):
+        assert_own_answer(call.get(), body, f"d{number}")
--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -69,6 +69,10 @@
     monkeypatch.setattr(SlotBook, "configure", configure_and_home)
 
 
+def _goes_on_using_leaving_workers(monkeypatch):
+    monkeypatch.setattr(cluster.Cluster, "usable", lambda self, node: True)
+
+
 def _never_moves_reservations_off(monkeypatch):
     monkeypatch.setattr(SlotBook, "leave", lambda self, worker: None)
 
@@ -81,6 +85,7 @@
         _leaves_accelerators_free,
         _drops_a_member,
         _forgets_the_reservation,
+        _goes_on_using_leaving_workers,
         _never_moves_reservations_off,
     ],
 )
