--- a/bench/measure.py
+++ b/bench/measure.py
@@ -33,6 +33,8 @@
     p99_completion_s: float
     mean_slowdown: float
     fragmentation: float
+    fragmentation_waited: float
+    adjacency_wait_s: float
     claim_start_p99_s: float
     lost_accelerator_s: float
     refused_not_run: int
@@ -113,6 +115,8 @@
         round(float(np.percentile(times, 99)), 3),
         round(float((times / runs).mean()), 4),
         round(simulation.fragmentation, 4),
+        round(simulation.waited_fragmentation, 4),
+        round(simulation.adjacency_wait_s, 1),
         round(float(np.percentile(claims, 99)), 3) if claims else 0.0,
         round(simulation.lost_accelerator_s, 1),
         sum(1 for record in records if record.outcome == "not_run"),
--- a/bench/simulate.py
+++ b/bench/simulate.py
@@ -1,5 +1,6 @@
 """Drives a policy with a fake worker port on virtual time; no network and no processes."""
 
+import collections
 import heapq
 import itertools
 import math
@@ -33,7 +34,7 @@
     WorkerLost,
     WorkerSilent,
 )
-from lacewingmill.scheduling.placement import stranded_share
+from lacewingmill.scheduling.placement import packable, stranded_share
 
 __all__ = ["Policy", "RunRecord", "Simulation"]
 
@@ -79,6 +80,7 @@
     attempt: int = 0
     placement: Placement = ()
     releasing: bool = False
+    waiting: bool = False
 
 
 class Simulation:
@@ -102,6 +104,9 @@
         self._fragmented_s = 0.0
         self._inevitable_s = 0.0
         self._measured_s = 0.0
+        self._waiting: collections.Counter[Shape] = collections.Counter()
+        self._fragmented_wait_s = 0.0
+        self._adjacency_wait_s = 0.0
         self._unfinished = len(workload.jobs)
 
     @property
@@ -109,6 +114,19 @@
         """Time-averaged fragmentation over the measured window, 0..1."""
         return self._fragmented_s / self._measured_s if self._measured_s else 0.0
 
+    @property
+    def waited_fragmentation(self) -> float:
+        """Fragmentation weighted by the gangs that waited for adjacency alone, 0..1.
+
+        Such a gang needs no more accelerators than are free, but no block holds it.
+        """
+        return self._fragmented_wait_s / self._adjacency_wait_s if self._adjacency_wait_s else 0.0
+
+    @property
+    def adjacency_wait_s(self) -> float:
+        """Time that gangs waited for adjacency alone, in gang-seconds."""
+        return self._adjacency_wait_s
+
     @property
     def inevitable_fragmentation(self) -> float:
         """What the fragmentation would be with the same free accelerators all in one block."""
@@ -151,10 +169,33 @@
             return
         span = end - self.now
         cluster, mix = self._policy.cluster, self._policy.mix
-        self._fragmented_s += span * stranded_share(cluster, mix)
+        share = stranded_share(cluster, mix)
+        gangs = self._waiting_for_adjacency(cluster)
+        self._fragmented_s += span * share
+        self._fragmented_wait_s += span * share * gangs
+        self._adjacency_wait_s += span * gangs
         self._inevitable_s += span * inevitable_share(cluster.free_accelerators, mix)
         self._measured_s += span
 
+    def _waiting_for_adjacency(self, cluster: Cluster) -> int:
+        """Return how many waiting gangs the free accelerators would hold were they adjacent."""
+        free = cluster.free_accelerators
+        return sum(
+            count
+            for shape, count in self._waiting.items()
+            if count and shape.accelerators <= free and not packable(cluster, shape)
+        )
+
+    def _wait(self, record: RunRecord) -> None:
+        if not record.waiting:
+            record.waiting = True
+            self._waiting[record.timed.job.shape] += 1
+
+    def _wait_no_more(self, record: RunRecord) -> None:
+        if record.waiting:
+            record.waiting = False
+            self._waiting[record.timed.job.shape] -= 1
+
     def _feed(self, event: Event) -> None:
         started = time.perf_counter()
         actions = self._policy.handle(event, self.now)
@@ -172,6 +213,7 @@
         if timed.job.claims and key in self._allowed:
             record.entitled = self._open_claims.get(key, 0) < self._allowed[key]
             self._open_claims[key] = self._open_claims.get(key, 0) + 1
+        self._wait(record)
         self._feed(JobSubmitted(timed.job))
 
     def _cancel(self, timed: TimedJob) -> None:
@@ -211,6 +253,7 @@
     @_act.register
     def _(self, action: StartGang) -> None:
         record = self.records[action.job_id]
+        self._wait_no_more(record)
         record.attempt += 1
         record.placement = action.placement
         attempt = record.attempt
@@ -257,6 +300,7 @@
         if attempt != record.attempt:
             return
         record.placement = ()
+        self._wait(record)
         self._feed(WorkerSilent(worker))
         if attempt == record.attempt:
             self._feed(GangRejected(record.timed.job.job_id, worker, True))
@@ -284,6 +328,7 @@
         self._count_lost(record)
         record.running_since = 0.0
         record.placement = ()
+        self._wait(record)
         self._feed(JobFailed(record.timed.job.job_id, worker))
 
     def _finished(self, record: RunRecord, attempt: int) -> None:
@@ -308,6 +353,7 @@
             return
         record.placement = ()
         record.releasing = False
+        self._wait(record)
         self._feed(GangReleased(record.timed.job.job_id, saved_s))
 
     def _count_lost(self, record: RunRecord) -> None:
@@ -318,6 +364,7 @@
     def _end(self, record: RunRecord, outcome: str) -> None:
         record.outcome = outcome
         record.placement = ()
+        self._wait_no_more(record)
         self._unfinished -= 1
         key = record.timed.job.slot_key
         if record.timed.job.claims and key in self._open_claims:
--- a/bench/table.py
+++ b/bench/table.py
@@ -67,7 +67,8 @@
 def _print_table(groups) -> None:
     print(
         f"{'deployment':11}{'scenario':20}{'policy':19}{'completion':>11}{'spread':>8}"
-        f"{'fragment.':>10}{'score':>8}{'claim p99':>11}{'late':>6}{'partial':>8}{'twice':>6}"
+        f"{'fragment.':>10}{'waited':>8}{'score':>8}{'claim p99':>11}"
+        f"{'late':>6}{'partial':>8}{'twice':>6}"
     )
     for (deployment, scenario, policy), runs in groups.items():
         ratios = [_ratio(measured) for measured, _ in runs]
@@ -75,6 +76,7 @@
             f"{deployment:11}{scenario:20}{policy:19}{np.median(ratios):11.3f}"
             f"{max(ratios) - min(ratios):8.3f}"
             f"{_median(runs, lambda m: m.fragmentation):10.3f}"
+            f"{_median(runs, lambda m: m.fragmentation_waited):8.3f}"
             f"{_median(runs, lambda m: m.weighted_score):8.3f}"
             f"{max(m.claim_start_p99_s for m, _ in runs):11.1f}"
             f"{sum(c.late_claims for _, c in runs):6}"
--- a/src/lacewingmill/scheduling/placement.py
+++ b/src/lacewingmill/scheduling/placement.py
@@ -12,7 +12,7 @@
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, Node, Part
 
-__all__ = ["PackingValue", "PlacementRules", "find_block", "stranded_share"]
+__all__ = ["PackingValue", "PlacementRules", "find_block", "packable", "stranded_share"]
 
 CANDIDATES_PER_GROUP = 32
 
@@ -154,11 +154,12 @@
     free = cluster.free_accelerators
     if free == 0 or not mix:
         return 0.0
-    shares = [1.0 - _packable(cluster, shape) / free for shape in mix]
+    shares = [1.0 - packable(cluster, shape) / free for shape in mix]
     return sum(shares) / len(shares)
 
 
-def _packable(cluster: Cluster, shape: Shape) -> int:
+def packable(cluster: Cluster, shape: Shape) -> int:
+    """Return how many free accelerators gangs of a shape could use if only such gangs came."""
     size = shape.accelerators
     if shape.adjacency is Adjacency.WORKER:
         return sum(len(node.free) // size * size for node in cluster.nodes.values())
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -4,7 +4,11 @@
 import pytest
 
 from bench.measure import POLICIES, measure_run
-from bench.workload import DEPLOYMENTS, SCENARIOS
+from bench.simulate import Simulation
+from bench.workload import DEPLOYMENTS, SCENARIOS, make_workload
+from lacewingmill.scheduling.cluster import Part
+from lacewingmill.scheduling.messages import WorkerJoined
+from lacewingmill.scheduling.scheduler import Scheduler
 
 SEED = 1
 JOBS = 500
@@ -29,3 +33,22 @@
         return attrs.evolve(measured, decision_p99_us=0.0)
 
     assert figures() == figures()
+
+
+def test_gang_waits_for_adjacency_alone_while_enough_is_free_in_pieces():
+    deployment = DEPLOYMENTS["waschplan"]
+    scheduler = Scheduler()
+    workload = make_workload(deployment, "steady", 1, 10)
+    simulation = Simulation(deployment, workload, scheduler)
+    nodes = deployment.nodes()[:2]
+    for node in nodes:
+        scheduler.handle(WorkerJoined(node), 0.0)
+    whole = deployment.kinds[0].shape
+    simulation._waiting[whole] = 2
+    assert simulation._waiting_for_adjacency(scheduler.cluster) == 0
+    half = attrs.evolve(whole, accelerators=4)
+    for node in nodes:
+        scheduler.cluster.allocate(f"held-{node.worker}", half, (Part(node.worker, 4),))
+    assert simulation._waiting_for_adjacency(scheduler.cluster) == 2
+    scheduler.cluster.allocate("one", half, (Part(nodes[0].worker, 1),))
+    assert simulation._waiting_for_adjacency(scheduler.cluster) == 0
