Prove leaving targets, planned stops and publishing beside other failures

Cause: docs/PROOFS.md had these cells open: a leaving target beside any failure, a planned stop beside store and executor failures, claims while the store is away or slow, publishing to a paused VM or through a slow store; failures by a slow store only in make faults. Before: not proved.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -12,8 +12,10 @@
 import gevent
 
 from bench.load import CallOutcome, LedgerVerdict, Load, judge_ledger, read_ledger
+from lacewingmill.codec import encode_json
 from lacewingmill.exceptions import TransportError
-from standins.fleet import DEPLOYMENTS, Fleet
+from lacewingmill.models import Role, Vm, VmState
+from standins.fleet import DEPLOYMENTS, Fleet, list_vms
 
 __all__ = ["FAULTS", "FaultReport", "Injector", "run_faults"]
 
@@ -23,12 +25,19 @@
 SETTLE_S = 4.0
 RECOVERY_LIMIT_S = 30.0
 PROBE_S = 0.1
+LEAVING_KNOWN_S = 5.0
+CALL_TIMEOUT_S = 5.0
 
 
 class Injector:
-    """Brings single failures about and takes them back."""
+    """Brings single failures about and takes them back.
+
+    ``work_for_leaving`` counts executions at executors that had been leaving for
+    ``LEAVING_KNOWN_S``.
+    """
 
     def __init__(self, fleet: Fleet, rng: random.Random):
+        self.work_for_leaving = 0
         self._fleet = fleet
         self._rng = rng
 
@@ -106,6 +115,31 @@
         """Let an executor refuse all work while it looks well."""
         self._switch(self._fleet.ports.executor(self._rng.randrange(24)), "refuse", True, False)
 
+    def list_silent(self) -> None:
+        """Lose track of the open connections to the VM list; new ones work."""
+        self._fleet.fault(self._fleet.ports.vm_list, {"silence": True})
+        gevent.sleep(HOLD_S)
+
+    def target_leaving(self) -> None:
+        """Let an executor leave, and count the work it still gets once that must be known."""
+        vms = list_vms(self._fleet.deployment, self._fleet.ports)
+        executor = self._rng.choice([vm for vm in vms if vm.role is Role.EXECUTOR])
+        self._list(attrs.evolve(executor, state=VmState.LEAVING))
+        gevent.sleep(LEAVING_KNOWN_S)
+        before = self._executions(executor.name)
+        gevent.sleep(HOLD_S)
+        self.work_for_leaving += self._executions(executor.name) - before
+        self._list(executor)
+
+    def _list(self, vm: Vm) -> None:
+        body = encode_json(vm)
+        self._fleet.caller.call(
+            self._fleet.ports.vm_list, "PUT", "/vms", body=body, timeout_s=CALL_TIMEOUT_S
+        )
+
+    def _executions(self, name: str) -> int:
+        return sum(1 for row in read_ledger(self._fleet) if row.who == name)
+
     def _switch(self, address: str, name: str, bad, good) -> None:
         self._fleet.fault(address, {name: bad})
         gevent.sleep(HOLD_S)
@@ -140,6 +174,7 @@
     :param wrong: answers that were not the caller's own.
     :param longest_gap_s: longest time without an answered call.
     :param reasons: why calls were not answered, each with its count.
+    :param work_for_leaving: executions at executors that had been leaving for long enough.
     :param recovery_s: from the end of the failures until all VMs were ready and one owned the cell.
     """
 
@@ -154,11 +189,13 @@
     longest_gap_s: float
     recovery_s: float
     reasons: tuple[str, ...]
+    work_for_leaving: int
 
     @property
     def broken(self) -> bool:
         """Whether a promise was broken."""
-        return bool(self.wrong or any(attrs.astuple(self.verdict, recurse=False)))
+        ledger = any(attrs.astuple(self.verdict, recurse=False))
+        return bool(self.wrong or self.work_for_leaving or ledger)
 
 
 def run_faults(fleet: Fleet, seed: int, faults: tuple[str, ...]) -> FaultReport:
@@ -189,6 +226,7 @@
         load.longest_gap_s(),
         recovery_s,
         _reasons(load),
+        injector.work_for_leaving,
     )
 
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -203,6 +203,20 @@
         assert world.clock.now() - submitted <= 5.6
 
 
+def test_claim_and_idempotent_work_make_no_store_call(world):
+    cell = world.own("a", 1)
+    cell.submit(submission("look", ONE))
+    world.clock.advance(1.0)
+    calls = world.store.calls
+    world.store.down = True
+    for number in range(48):
+        cell.submit(submission(f"b{number}", ONE, checkpoint=True, deadline=2000.0))
+    cell.submit(submission("claim", WHOLE, claims=True))
+    world.clock.advance(15.0)
+    assert phase(cell, "claim") is JobPhase.DONE
+    assert world.store.calls == calls
+
+
 def test_owner_that_was_paused_does_not_take_live_workers_for_lost(world):
     cell = world.own("a", 1)
     cell.submit(submission("j", WHOLE, idempotent=False, deadline=100.0))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -9,7 +9,11 @@
 @pytest.mark.parametrize(
     ("deployment", "base_port", "faults"),
     [
-        (GUILD, 22000, ("owner_killed+store_down", "owner_paused", "store_answers_lost")),
+        (
+            GUILD,
+            22000,
+            ("owner_killed+store_down", "owner_paused", "store_answers_lost+store_slow"),
+        ),
         (
             WASCHPLAN,
             22400,
@@ -30,13 +34,36 @@
 
 
 def test_planned_stops_cut_no_request():
-    fleet = Fleet(GUILD, 22800)
+    report = run_on_fleet(22800, 2, ("planned_stop", "planned_stop"))
+    assert not report.broken, report
+    assert report.cut == 0, report
+    assert report.unknown == 0, report
+
+
+def test_planned_stops_beside_other_failures_cut_no_request():
+    faults = ("planned_stop+store_slow", "planned_stop+store_down", "executor_silent+planned_stop")
+    report = run_on_fleet(22800, 3, faults)
+    assert not report.broken, report
+    assert report.cut == 0, report
+
+
+def test_leaving_target_gets_no_new_work_beside_other_failures():
+    faults = (
+        "owner_killed+target_leaving",
+        "list_silent+target_leaving",
+        "store_slow+target_leaving",
+        "target_leaving+vm_killed",
+    )
+    report = run_on_fleet(22800, 4, faults)
+    assert report.work_for_leaving == 0, report
+    assert not report.broken, report
+
+
+def run_on_fleet(base_port, seed, faults):
+    fleet = Fleet(GUILD, base_port)
     try:
         fleet.start()
         fleet.publish(GUILD.examples)
-        report = run_faults(fleet, 2, ("planned_stop", "planned_stop"))
+        return run_faults(fleet, seed, faults)
     finally:
         fleet.stop()
-    assert not report.broken, report
-    assert report.cut == 0, report
-    assert report.unknown == 0, report
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """A fleet of processes seen by operators: status, audit, explain, leaving targets, new VMs."""
 
 import json
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -181,3 +182,19 @@
         assert assert_own_answer(reply, b"{}", key).answered_by not in leaving
     for number, call in enumerate(calls):
         assert_own_answer(call.get(), body, f"d{number}")
+
+
+def test_publication_passes_a_slow_store_and_reaches_a_vm_that_was_paused(guild_fleet):
+    guild_fleet.fault(guild_fleet.ports.store, {"slow_s": 0.8})
+    paused = guild_fleet.entries[3]
+    paused.send_signal(signal.SIGSTOP)
+    try:
+        done = guild_fleet.publish("examples/guild")
+        assert "revision 2 accepted" in done.stdout, done.stdout + done.stderr
+    finally:
+        paused.send_signal(signal.SIGCONT)
+        guild_fleet.fault(guild_fleet.ports.store, {"slow_s": 0.0})
+    statuses = OperatorClient(guild_fleet.ports.control(0)).wait_in_force(2)
+    assert {status.vm: status.revision for status in statuses} == dict.fromkeys(
+        (f"entry-{number}" for number in guild_fleet.entries), 2
+    )
