Keep work that cannot run again off workers that have failed a job

Also: the relaxation with only the workers that a policy has (lost, silent and failing ones taken out).

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -6,7 +6,7 @@
 import numpy as np
 
 from bench.baselines import BestFitBackfill, FirstFit
-from bench.bounds import relaxation_mean_s
+from bench.bounds import all_workers, relaxation_mean_s, workers_left
 from bench.simulate import Policy, RunRecord, Simulation
 from bench.workload import DEPLOYMENTS, JOBS, Deployment, make_workload
 from lacewingmill.models import Weights
@@ -21,7 +21,11 @@
 
 @attrs.frozen
 class Measured:
-    """The figures of one run, in the order in which they are printed."""
+    """The figures of one run, in the order in which they are printed.
+
+    :param relaxation_degraded_mean_s: the relaxation with only the workers that a policy has:
+        without the lost, silent and failing ones.
+    """
 
     deployment: str
     scenario: str
@@ -40,6 +44,7 @@
     refused_not_run: int
     weighted_score: float
     relaxation_mean_s: float
+    relaxation_degraded_mean_s: float
     decisions: int
     decision_p99_us: float
 
@@ -101,7 +106,8 @@
     done = [record for record in records if record.outcome in ("done", "unknown")]
     times = np.array([_completion_s(record, workload.until) for record in done])
     runs = np.array([max(record.timed.run_s, SHORTEST_RUN_S) for record in done])
-    relaxation = relaxation_mean_s(workload, deployment.workers * deployment.accelerators)
+    relaxation = relaxation_mean_s(workload, all_workers(deployment))
+    degraded = relaxation_mean_s(workload, workers_left(deployment, workload))
     ratio = float(times.mean()) / relaxation
     claims = _claim_starts(records)
     measured = Measured(
@@ -122,6 +128,7 @@
         sum(1 for record in records if record.outcome == "not_run"),
         round(weigh(deployment.weights, ratio, simulation.fragmentation), 4),
         round(relaxation, 3),
+        round(degraded, 3),
         len(simulation.decision_s),
         round(float(np.percentile(simulation.decision_s, 99)) * 1e6, 1),
     )
--- a/bench/table.py
+++ b/bench/table.py
@@ -64,9 +64,13 @@
     return measured.mean_completion_s / measured.relaxation_mean_s
 
 
+def _degraded_ratio(measured: Measured) -> float:
+    return measured.mean_completion_s / measured.relaxation_degraded_mean_s
+
+
 def _print_table(groups) -> None:
     print(
-        f"{'deployment':11}{'scenario':20}{'policy':19}{'completion':>11}{'spread':>8}"
+        f"{'deployment':11}{'scenario':20}{'policy':19}{'completion':>11}{'degraded':>9}{'spread':>8}"
         f"{'fragment.':>10}{'waited':>8}{'score':>8}{'claim p99':>11}"
         f"{'late':>6}{'partial':>8}{'twice':>6}"
     )
@@ -74,6 +78,7 @@
         ratios = [_ratio(measured) for measured, _ in runs]
         print(
             f"{deployment:11}{scenario:20}{policy:19}{np.median(ratios):11.3f}"
+            f"{_median(runs, _degraded_ratio):9.3f}"
             f"{max(ratios) - min(ratios):8.3f}"
             f"{_median(runs, lambda m: m.fragmentation):10.3f}"
             f"{_median(runs, lambda m: m.fragmentation_waited):8.3f}"
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -24,9 +24,10 @@
             return
         ranked = sorted(self._state.queue.values(), key=lambda record: self._priority(record, now))
         self._refresh_reservation(ranked, now)
-        failed: set[tuple[Shape, bool]] = set()
+        failed: set[tuple[Shape, bool, bool]] = set()
         for record in ranked:
-            kind = (record.job.shape, record.job.evictable)
+            cautious = self._state.cautious(record.job, now)
+            kind = (record.job.shape, record.job.evictable, cautious)
             if kind in failed and not self._is_reserved_for(record):
                 continue
             if self._state.over_limit(record.job):
@@ -59,11 +60,14 @@
         job = record.job
         avoid = self._state.failures.failed_on(job.job_id)
         expected = self._state.expected_s(job) - record.done_s
+        cautious = self._state.cautious(job, now)
 
         def units(node: Node) -> int:
             worker = node.info.worker
             if worker in avoid or not self._open_to(job, worker, node):
                 return 0
+            if cautious and self._state.failures.doubtful(worker):
+                return 0
             if self._held_off(record, worker, now + expected):
                 return 0
             free = node.free_units(job.shape)
--- a/src/lacewingmill/scheduling/claims.py
+++ b/src/lacewingmill/scheduling/claims.py
@@ -50,7 +50,13 @@
         block = find_block(self._state.cluster, shape, self._claim_rules(record))
         victims: tuple[str, ...] = ()
         if block is None:
-            plan = plan_reclaim(self._state.cluster, shape, self._state.records, now)
+            plan = plan_reclaim(
+                self._state.cluster,
+                shape,
+                self._state.records,
+                now,
+                self._state.failures.doubtful,
+            )
             if plan is None:
                 self._state.book.put(slot, witness)
                 record.note(now, "waits: no live block can hold the guaranteed shape")
@@ -74,10 +80,14 @@
 
     def _claim_rules(self, record: JobRecord) -> PlacementRules:
         shape = record.job.shape
-        avoid = self._state.failures.failed_on(record.job.job_id)
+        failures = self._state.failures
+        avoid = failures.failed_on(record.job.job_id)
 
         def units(node: Node) -> int:
-            if node.info.worker in avoid or self._state.failures.probing(node.info.worker):
+            worker = node.info.worker
+            if worker in avoid or failures.probing(worker):
+                return 0
+            if not record.job.idempotent and failures.doubtful(worker):
                 return 0
             return min(node.free_units(shape), node.hard_units(shape))
 
--- a/src/lacewingmill/scheduling/reclaim.py
+++ b/src/lacewingmill/scheduling/reclaim.py
@@ -4,6 +4,8 @@
 accelerators; a gang that can checkpoint loses only the pause.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from lacewingmill.models import Shape
@@ -14,6 +16,7 @@
 __all__ = ["Reclaim", "eviction_cost", "plan_reclaim"]
 
 CHECKPOINT_LOSS_S = 5.0
+DOUBT_COST = 1e9
 ACTIVE_STATES = (JobState.STARTING, JobState.RUNNING)
 
 
@@ -37,17 +40,25 @@
 
 
 def plan_reclaim(
-    cluster: Cluster, shape: Shape, records: dict[str, JobRecord], now: float
+    cluster: Cluster,
+    shape: Shape,
+    records: dict[str, JobRecord],
+    now: float,
+    doubtful: Callable[[str], bool],
 ) -> Reclaim | None:
     """Return the cheapest block for a claim, or ``None`` when hard work leaves none.
 
     The reservation of the claiming slot itself must be lifted before.
+
+    :param doubtful: whether a worker has failed jobs; its accelerators are the last to be claimed.
     """
     chooser = _VictimChooser(shape, records, now)
-    rules = PlacementRules(
-        units=lambda node: node.hard_units(shape),
-        rank=chooser.cost,
-    )
+
+    def rank(node: Node, units: int) -> float:
+        doubt = DOUBT_COST if doubtful(node.info.worker) else 0.0
+        return chooser.cost(node, units) + doubt
+
+    rules = PlacementRules(units=lambda node: node.hard_units(shape), rank=rank)
     block = find_block(cluster, shape, rules, by_free=False)
     if block is None:
         return None
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -183,14 +183,22 @@
 
     def starves(self, record: JobRecord, now: float) -> bool:
         """Whether a wide gang has waited so long that it gets a reservation."""
-        rules = self.rules
-        patience = max(rules.reserve_least_s, rules.reserve_after * self.expected_s(record.job))
         return (
             record.job.shape.accelerators > 1
-            and now - record.job.submitted_at >= patience
+            and self.out_of_patience(record.job, now)
             and not self.over_limit(record.job)
         )
 
+    def out_of_patience(self, job: Job, now: float) -> bool:
+        """Whether a job has waited for long, compared with its run time."""
+        rules = self.rules
+        patience = max(rules.reserve_least_s, rules.reserve_after * self.expected_s(job))
+        return now - job.submitted_at >= patience
+
+    def cautious(self, job: Job, now: float) -> bool:
+        """Whether a job keeps off workers that have failed jobs: it cannot be run again."""
+        return not job.idempotent and not self.out_of_patience(job, now)
+
     def rank(self, node: Node, units: int) -> float:
         """Cost of a placement: what gangs can no longer use, reserved blocks, tightness."""
         left = len(node.free) - units
--- a/src/lacewingmill/scheduling/suspects.py
+++ b/src/lacewingmill/scheduling/suspects.py
@@ -102,9 +102,9 @@
         return record is not None and record.probing
 
     def doubtful(self, worker: str) -> bool:
-        """Whether a worker has failed jobs since its last success."""
+        """Whether a worker has failed jobs since its last success, or is being probed."""
         record = self._workers.get(worker)
-        return record is not None and bool(record.failures)
+        return record is not None and (record.probing or bool(record.failures))
 
     def _forgive(self, worker: str, job_id: str) -> None:
         """Hold a bad job's failure no longer against a worker, unless that is forgotten already."""
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,17 +4,20 @@
 
 from lacewingmill.scheduling.messages import (
     GangStarted,
+    GuaranteedSlots,
+    GuaranteesChanged,
     Job,
     JobFailed,
     JobFinished,
     JobSubmitted,
+    SlotKey,
     Tick,
     WorkerJoined,
 )
 from lacewingmill.scheduling.scheduler import Scheduler
 from lacewingmill.scheduling.suspects import FailureBook
 
-ONE = SHAPES[0]
+ONE, WHOLE = SHAPES[0], SHAPES[2]
 RACK = frozenset({"w0", "w1", "w2", "w3"})
 
 
@@ -49,3 +52,44 @@
     scheduler.handle(JobFinished("good", 3.0), 3.0)
     scheduler.handle(Tick(), 1000.0)
     assert scheduler.cluster.closed == set()
+
+
+def cell_with_a_failed_job_on(worker_number):
+    """Two workers; a job has failed on one of them."""
+    scheduler = Scheduler()
+    scheduler.handle(WorkerJoined(make_node(worker_number)), 0.0)
+    failing = Job("fails", "s", "t", ONE, False, False, False, 0.0)
+    scheduler.handle(JobSubmitted(failing), 0.0)
+    scheduler.handle(GangStarted("fails"), 0.0)
+    scheduler.handle(JobFailed("fails", f"w{worker_number}"), 1.0)
+    return scheduler
+
+
+def test_work_that_cannot_run_again_keeps_off_a_worker_that_failed_a_job():
+    scheduler = cell_with_a_failed_job_on(0)
+    scheduler.handle(JobSubmitted(Job("order", "s", "t", ONE, False, False, False, 2.0)), 2.0)
+    scheduler.handle(JobSubmitted(Job("look", "s", "t", ONE, False, True, False, 2.0)), 2.0)
+    assert scheduler.records["look"].workers == ("w0",)
+    assert scheduler.records["order"].workers == ()
+    scheduler.handle(WorkerJoined(make_node(1)), 3.0)
+    assert scheduler.records["order"].workers == ("w1",)
+
+
+def test_work_that_cannot_run_again_does_not_wait_for_ever_for_a_better_worker():
+    scheduler = cell_with_a_failed_job_on(0)
+    scheduler.handle(JobSubmitted(Job("order", "s", "t", ONE, False, False, False, 2.0)), 2.0)
+    scheduler.handle(Tick(), 500.0)
+    assert scheduler.records["order"].workers == ("w0",)
+
+
+def test_claim_clears_a_good_worker_before_it_takes_one_that_failed_a_job():
+    scheduler = cell_with_a_failed_job_on(0)
+    scheduler.handle(WorkerJoined(make_node(1)), 2.0)
+    key = SlotKey("s", "u", WHOLE.name)
+    guarantees = GuaranteesChanged((GuaranteedSlots(key, WHOLE, 1),), (), SHAPES)
+    scheduler.handle(guarantees, 2.0)
+    for number in range(9):
+        job = Job(f"b{number}", "s", "t", ONE, False, True, False, 3.0)
+        scheduler.handle(JobSubmitted(job), 3.0)
+    scheduler.handle(JobSubmitted(Job("claim", "s", "u", WHOLE, True, False, False, 4.0)), 4.0)
+    assert [part.worker for part in scheduler.records["claim"].block] == ["w1"]
