--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -11,6 +11,7 @@
 from lacewingmill.cells.orders import GangOrders
 from lacewingmill.cells.troubles import TroubleLog
 from lacewingmill.cells.work_claims import Work, WorkClaims
+from lacewingmill.cells.work_table import WorkTable
 from lacewingmill.cells.worker_watch import WorkerWatch
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import FenceRejected, StoreUnavailable
@@ -44,13 +45,11 @@
     WorkerSilent,
     worker_node,
 )
-from lacewingmill.scheduling.records import explain_record
 from lacewingmill.scheduling.scheduler import Scheduler
 
 __all__ = ["CellDriver", "CellParts"]
 
 TICK_S = 1.0
-REPORT_KEPT_S = 600.0
 UNKNOWN_START = "the gang was stopped after a member had run"
 
 
@@ -83,8 +82,7 @@
         self._clock = parts.clock
         self._log = parts.log
         self._scheduler = parts.scheduler
-        self._works: dict[str, Work] = {}
-        self._by_gang: dict[str, Work] = {}
+        self._works = WorkTable(parts.scheduler, parts.clock, parts.log)
         self._claims = WorkClaims(parts.journal, parts.clock, parts.vm, fence)
         self._troubles = TroubleLog(parts.scheduler, parts.log)
         self.watch = WorkerWatch(parts.workers, parts.clock, fence, self)
@@ -98,15 +96,12 @@
 
     def submit(self, submit: SubmitJob) -> None:
         """Take a job in; repeating a submission is harmless."""
-        job_id = submit.job.job_id
-        known = self._works.get(job_id)
+        known = self._works.find(submit.job.job_id)
         if known is not None:
-            self._learn_body(known, submit)
+            self._works.learn_body(known, submit)
             return
-        report = JobReport(job_id, JobPhase.WAITING)
-        now = self._clock.now()
-        self._works[job_id] = Work(submit, now + submit.deadline_s, report)
-        job = attrs.evolve(submit.job, submitted_at=now)
+        self._works.add(submit)
+        job = attrs.evolve(submit.job, submitted_at=self._clock.now())
         self._feed(JobSubmitted(job))
 
     def adopt(self, submit: SubmitJob, gang: Gang, done_s: float) -> None:
@@ -114,17 +109,11 @@
 
         :param done_s: run time kept by earlier checkpoints, in seconds.
         """
-        report = JobReport(submit.job.job_id, JobPhase.RUNNING)
-        deadline = self._clock.now() + submit.deadline_s
-        work = Work(submit, deadline, report, gang=gang, body_known=False, done_s=done_s)
-        self._works[submit.job.job_id] = work
-        self._by_gang[gang.gang_id] = work
+        self._works.adopt(submit, gang, done_s)
 
     def keep_outcome(self, submit: SubmitJob, report: JobReport) -> None:
         """Remember the outcome of a job that ended before this VM owned the cell."""
-        now = self._clock.now()
-        work = Work(submit, now, report, closed_at=now)
-        self._works[submit.job.job_id] = work
+        self._works.keep_outcome(submit, report)
 
     def note_table(self, worker: str, leases: tuple[WorkerLease, ...]) -> None:
         """Remember what a worker had executed when it accepted this fence.
@@ -139,19 +128,18 @@
 
     def report(self, job_id: str, wait_s: float) -> JobReport | None:
         """Return a job's report, waiting for its end at most ``wait_s``; ``None`` if unheard of."""
-        work = self._works.get(job_id)
+        work = self._works.find(job_id)
         if work is None:
             return None
         if not work.report.phase.final and wait_s > 0:
             work.changed.wait(wait_s)
-        record = self._scheduler.records.get(job_id)
-        if record is None:
+        if job_id not in self._scheduler.records:
             return work.report
-        return attrs.evolve(work.report, notes=explain_record(record))
+        return attrs.evolve(work.report, notes=self._works.notes(job_id))
 
     def cancel(self, job_id: str) -> None:
         """Give a job up for its caller."""
-        work = self._works.get(job_id)
+        work = self._works.find(job_id)
         if work is None or work.report.phase.final:
             return
         self._cancel(work, "cancelled by the caller")
@@ -164,17 +152,12 @@
 
     def renewable_gangs(self, worker: str) -> tuple[str, ...]:
         """Return the gangs with a member on a worker whose lease may be renewed."""
-        now = self._clock.now()
-        return tuple(
-            gang_id
-            for gang_id, work in self._by_gang.items()
-            if work.gang is not None and worker in work.gang.workers and work.gang.renewable(now)
-        )
+        return self._works.renewable_gangs(worker)
 
     def worker_acked(self, worker: str, renewed: tuple[str, ...], at: float) -> None:
         """Take in which leases a worker renewed."""
         for gang_id in renewed:
-            work = self._by_gang.get(gang_id)
+            work = self._works.find_gang(gang_id)
             if work is not None and work.gang is not None:
                 work.gang.acked[worker] = at
 
@@ -183,7 +166,7 @@
         self.note_table(worker, leases)
         orphans = []
         for lease in leases:
-            work = self._by_gang.get(lease.gang)
+            work = self._works.find_gang(lease.gang)
             active = lease.state in ("leased", "running")
             if work is None or work.gang is None:
                 if active:
@@ -240,28 +223,28 @@
 
     @_act.register
     def _(self, action: StartGang) -> None:
-        gevent.spawn(self._guarded, self._start, self._works[action.job_id], action)
+        gevent.spawn(self._guarded, self._start, self._works.get(action.job_id), action)
 
     @_act.register
     def _(self, action: EvictGang) -> None:
-        gevent.spawn(self._guarded, self._evict, self._works[action.job_id], action)
+        gevent.spawn(self._guarded, self._evict, self._works.get(action.job_id), action)
 
     @_act.register
     def _(self, action: StopGang) -> None:
-        work = self._works[action.job_id]
+        work = self._works.get(action.job_id)
         gang, work.gang = work.gang, None
         if gang is not None:
             gevent.spawn(self._guarded, self._stop_gang, gang, action.reason)
 
     @_act.register
     def _(self, action: RefuseJob) -> None:
-        work = self._works[action.job_id]
+        work = self._works.get(action.job_id)
         self._log.emit(LogEvent.JOB_REFUSED, job=action.job_id, reason=action.reason)
-        self._close(work, JobReport(action.job_id, JobPhase.NOT_RUN, reason=action.reason))
+        self._works.close(work, JobReport(action.job_id, JobPhase.NOT_RUN, reason=action.reason))
 
     @_act.register
     def _(self, action: FailJob) -> None:
-        self._close_unknown(self._works[action.job_id], action.reason, "run", "")
+        self._works.close_unknown(self._works.get(action.job_id), action.reason, "run", "")
 
     def _guarded(self, run, *args) -> None:
         """Run a step of a gang; a higher fence ends this ownership."""
@@ -289,7 +272,7 @@
         if work.report.phase.final or self.deposed or gang.closing:
             work.gang = None
             return
-        self._by_gang[gang_id] = work
+        self._works.link_gang(work, gang)
         orders = GangOrders(work, gang, self.fence, action.guaranteed, self._clock.wall())
         failure = self._runner.start(gang, orders.lease, orders.start)
         if failure is None:
@@ -297,14 +280,14 @@
             work.report = JobReport(job.job_id, JobPhase.RUNNING)
             self._feed(GangStarted(job.job_id))
             return
-        self._forget_gang(work, gang)
+        self._works.end_gang(work, gang)
         self._reject(work, gang, failure)
 
     def _reject(self, work: Work, gang: Gang, failure: StartFailure) -> None:
         job = work.submit.job
         self._log.emit(LogEvent.GANG_REJECTED, gang=gang.gang_id, reason=failure.reason)
         if failure.executed and not job.idempotent:
-            self._close_unknown(work, UNKNOWN_START, "start", failure.worker)
+            self._works.close_unknown(work, UNKNOWN_START, "start", failure.worker)
             self._feed(JobCancelled(job.job_id))
             return
         if failure.silent:
@@ -328,10 +311,10 @@
         """Answer a request whose key was claimed before: its answer if kept, else unknown."""
         job_id = work.submit.job.job_id
         if answer is not None:
-            self._close(work, JobReport(job_id, JobPhase.DONE, answer))
+            self._works.close(work, JobReport(job_id, JobPhase.DONE, answer))
         else:
             reason = "a request with this idempotency key was claimed before; its answer is unknown"
-            self._close_unknown(work, reason, "claim", "")
+            self._works.close_unknown(work, reason, "claim", "")
         self._feed(JobCancelled(job_id))
 
     def _evict(self, work: Work, action: EvictGang) -> None:
@@ -347,7 +330,7 @@
             return
         ran_s = self._clock.now() - gang.started_at if gang.started else 0.0
         released = self._runner.release(gang, checkpoint=action.checkpoint)
-        self._forget_gang(work, gang)
+        self._works.end_gang(work, gang)
         if released.result is not None:
             self._complete(work, gang, released.result)
             return
@@ -359,7 +342,7 @@
 
     def _stop_gang(self, gang: Gang, reason: str) -> None:
         self._runner.release(gang, checkpoint=False)
-        self._by_gang.pop(gang.gang_id, None)
+        self._works.unlink_gang(gang)
         self._log.emit(LogEvent.GANG_STOPPED, gang=gang.gang_id, reason=reason)
 
     def _finish(self, work: Work, gang: Gang, result: bytes) -> None:
@@ -374,69 +357,35 @@
         answer = gang_answer(result, gang.workers[0])
         run_s = self._clock.now() - gang.started_at + work.done_s
         self._log.emit(LogEvent.JOB_DONE, job=job.job_id, run_s=round(run_s, 3))
-        self._close(work, JobReport(job.job_id, JobPhase.DONE, answer))
+        self._works.close(work, JobReport(job.job_id, JobPhase.DONE, answer))
         self._runner.release(gang, checkpoint=False)
-        self._forget_gang(work, gang)
+        self._works.end_gang(work, gang)
         self._feed(JobFinished(job.job_id, run_s))
         if not job.idempotent:
             self._claims.settle(work, gang, answer)
 
-    def _learn_body(self, work: Work, submit: SubmitJob) -> None:
-        """Take the body of a recovered job from the entry VM that holds it."""
-        if work.body_known:
-            return
-        work.submit = submit
-        work.deadline = self._clock.now() + submit.deadline_s
-        work.body_known = True
-
     def _fail_member(self, work: Work, gang: Gang, worker: str) -> None:
         if gang.closing or work.gang is not gang:
             return
         self._runner.release(gang, checkpoint=False)
-        self._forget_gang(work, gang)
+        self._works.end_gang(work, gang)
         work.report = JobReport(work.submit.job.job_id, JobPhase.WAITING)
         self._feed(JobFailed(work.submit.job.job_id, worker))
 
     def _cancel(self, work: Work, reason: str) -> None:
         """End a job early; it was not run only if no gang of it may have been started."""
         job_id = work.submit.job.job_id
-        sent = work.gang is not None and work.gang.gang_id in self._by_gang
-        if not sent and work.done_s == 0.0 and not work.run_before_s:
-            self._close(work, JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="wait"))
+        if self._works.never_sent(work):
+            self._works.close(work, JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="wait"))
         else:
-            self._close_unknown(work, reason, "run", "")
+            self._works.close_unknown(work, reason, "run", "")
         self._feed(JobCancelled(job_id))
 
-    def _close_unknown(self, work: Work, reason: str, step: str, peer: str) -> None:
-        job_id = work.submit.job.job_id
-        self._log.emit(LogEvent.JOB_UNKNOWN, job=job_id, reason=reason)
-        report = JobReport(job_id, JobPhase.UNKNOWN, reason=reason, step=step, peer=peer)
-        self._close(work, report)
-
-    def _close(self, work: Work, report: JobReport) -> None:
-        if work.report.phase.final:
-            return
-        record = self._scheduler.records.get(report.job_id)
-        notes = explain_record(record) if record else ()
-        work.report = attrs.evolve(report, notes=notes)
-        work.closed_at = self._clock.now()
-        work.changed.set()
-
-    def _forget_gang(self, work: Work, gang: Gang) -> None:
-        self._by_gang.pop(gang.gang_id, None)
-        if work.gang is gang:
-            work.gang = None
-        if gang.started:
-            work.run_before_s = max(work.run_before_s, self._clock.now() - gang.started_at)
-
     def _tick_forever(self) -> None:
         while not self.deposed:
             self._clock.sleep(TICK_S)
-            now = self._clock.now()
-            for job_id, work in list(self._works.items()):
-                if work.closed_at and now - work.closed_at > REPORT_KEPT_S:
-                    del self._works[job_id]
-                elif work.report.phase is JobPhase.WAITING and now >= work.deadline:
-                    self._cancel(work, "the deadline passed while the job waited")
+            self._works.expire()
+            for work in self._works.overdue():
+                self._cancel(work, "the deadline passed while the job waited")
             self._feed(Tick())
             self._troubles.look()
