Send nothing on after a pause before the VM list was asked again

Ruled out: an age limit on the list itself (an outage of the list would stop all requests). Before: both new tests fail with the check switched off (a request reaches the executor that left). After: tests of ordinary requests and VM pass (18).

--- a/src/lacewingmill/routing/ordinary.py
+++ b/src/lacewingmill/routing/ordinary.py
@@ -29,6 +29,7 @@
 
 CLAIM_POLL_S = 0.2
 PUMP_S = 0.25
+LIST_ASKED_WITHIN_S = 5.0
 
 
 @attrs.frozen
@@ -88,6 +89,8 @@
         self._vm = vm
         self._rng = rng
         self._lanes: dict[str, _Lane] = {}
+        self._confirmed_at: float | None = None
+        self._confirmed = Event()
 
     @property
     def queued(self) -> int:
@@ -100,6 +103,14 @@
         lane.pool.set_targets(vms, entry_vms)
         self._pump(lane)
 
+    def confirm_targets(self) -> None:
+        """Take in that the VM list was asked just now; without an answer the last one stays."""
+        self._confirmed_at = self._clock.now()
+        confirmed, self._confirmed = self._confirmed, Event()
+        confirmed.set()
+        for lane in self._lanes.values():
+            self._pump(lane)
+
     def run(self) -> None:
         """Wake waiters when ejections end, for ever."""
         while True:
@@ -209,6 +220,8 @@
         :raises QueueFull: too many requests of the team wait already.
         :raises DeadlineExceeded: the deadline passed first.
         """
+        if self._was_paused():
+            self._confirmed.wait(max(0.0, req.deadline - self._clock.now()))
         now = self._clock.now()
         if not len(lane.pool):
             raise NoTarget(f"no live executor for {req.service.name}", step="route")
@@ -226,6 +239,8 @@
 
     def _pump(self, lane: _Lane) -> None:
         """Give free places to waiters, fair among teams."""
+        if self._was_paused():
+            return
         now = self._clock.now()
         while len(lane.queue):
             lease = lane.pool.take(now)
@@ -238,6 +253,15 @@
             slot.lease = lease
             slot.ready.set()
 
+    def _was_paused(self) -> bool:
+        """Whether the VM list was last asked so long ago that this process must have been paused.
+
+        Until it is asked again, any target may have left.
+        """
+        if self._confirmed_at is None:
+            return False
+        return self._clock.now() - self._confirmed_at > LIST_ASKED_WITHIN_S
+
     def _lane(self, service: str) -> _Lane:
         lane = self._lanes.get(service)
         if lane is None:
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -177,6 +177,7 @@
             else:
                 failing = False
                 self._take_list(vms)
+            self._ordinary.confirm_targets()
             self._clock.sleep(LIST_EVERY_S)
 
     def _take_list(self, vms: tuple[Vm, ...]) -> None:
--- a/tests/test_ordinary.py
+++ b/tests/test_ordinary.py
@@ -68,6 +68,35 @@
     return World()
 
 
+def test_vm_that_was_paused_sends_nothing_before_it_knows_who_is_leaving(world):
+    router = world.routers[0]
+    router.confirm_targets()
+    world.clock.jump(10.0)
+    call = gevent.spawn(_outcome, router, world.request(STOCK))
+    world.clock.settle()
+    assert world.executors.executions == {}
+    router.set_targets("svc", executors()[2:], 2)
+    router.confirm_targets()
+    world.clock.advance(1.0)
+    assert call.value.answered_by == "e2"
+
+
+def test_vm_that_was_paused_gives_its_queue_to_nobody_who_may_have_left(world):
+    router = world.routers[0]
+    router.set_targets("svc", executors()[:1], 64)  # one place
+    router.confirm_targets()
+    patient = Route("/order", RouteKind.ORDINARY, idempotent=False, deadline_s=20.0)
+    requests = [world.request(patient, key=f"k{n}", given=False) for n in range(2)]
+    calls = [gevent.spawn(_outcome, router, req) for req in requests]
+    world.clock.settle()
+    world.clock.jump(10.0)  # the first answer arrives while the process is paused
+    assert set(world.executors.executions) == {"k0"}
+    router.set_targets("svc", executors()[2:], 64)
+    router.confirm_targets()
+    world.clock.advance(1.0)
+    assert calls[1].value.answered_by == "e2"
+
+
 def test_idempotent_request_outlives_a_silent_executor(world):
     world.executors.silent.update(("e0", "e1"))
     for number in range(10):
