--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -217,6 +217,17 @@
     assert world.store.calls == calls
 
 
+def test_job_that_must_not_run_twice_costs_two_store_calls(world):
+    cell = world.own("a", 1)
+    cell.submit(submission("first", ONE, idempotent=False))
+    world.clock.advance(10.0)  # the claims of an hour share one store lease
+    calls = world.store.calls
+    cell.submit(submission("order", ONE, idempotent=False))
+    world.clock.advance(10.0)
+    assert phase(cell, "order") is JobPhase.DONE
+    assert world.store.calls - calls == 2
+
+
 def test_owner_that_was_paused_does_not_take_live_workers_for_lost(world):
     cell = world.own("a", 1)
     cell.submit(submission("j", WHOLE, idempotent=False, deadline=100.0))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -13,6 +13,7 @@
 
 VMS = 4
 STEP_S = 0.25
+RENEWALS_A_SECOND = 2.0
 
 
 class Member:
@@ -186,3 +187,21 @@
     assert view.targets(Role.EXECUTOR, "svc") == ()
     view.list_read((live,))
     assert view.list_read(()) == [live]
+
+
+def test_store_calls_of_an_owned_cell_are_bounded():
+    """The owner renews its lease; those who stand by call nothing: the watch tells them."""
+    world = World(3)
+    world.run(5.0)
+    owner = world.owners()[0]
+    standby = next(member for member in world.members if member is not owner)
+    calls = world.store.calls
+    for _ in range(200):
+        world.clock.advance(0.1)
+        owner.step()
+    assert world.store.calls - calls <= 20.0 * RENEWALS_A_SECOND
+    calls = world.store.calls
+    for _ in range(200):
+        world.clock.advance(0.1)
+        standby.step()
+    assert world.store.calls == calls
