Write the history before a planned stop looks for requests in flight

Cause: a planned stop committed the history after the entry service was closed and then ended. With a slow or absent store that took 0.8 to 3 s, in which open connections still took requests; these were cut. Ruled out: the wait for a quiet 0.3 s (a request after it meets a listener that is closed). A commit beside the loop's own no longer drops a batch.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -12,6 +12,7 @@
 import gevent
 
 from bench.load import CallOutcome, LedgerVerdict, Load, judge_ledger, read_ledger
+from lacewingmill.adapters.http_client import HttpCaller
 from lacewingmill.codec import encode_json
 from lacewingmill.exceptions import TransportError
 from lacewingmill.models import Role, Vm, VmState
@@ -132,9 +133,13 @@
         self._list(executor)
 
     def _list(self, vm: Vm) -> None:
-        body = encode_json(vm)
-        self._fleet.caller.call(
-            self._fleet.ports.vm_list, "PUT", "/vms", body=body, timeout_s=CALL_TIMEOUT_S
+        """Change the list, on a new connection: open ones may have gone silent."""
+        HttpCaller().call(
+            self._fleet.ports.vm_list,
+            "PUT",
+            "/vms",
+            body=encode_json(vm),
+            timeout_s=CALL_TIMEOUT_S,
         )
 
     def _executions(self, name: str) -> int:
--- a/src/lacewingmill/cells/history.py
+++ b/src/lacewingmill/cells/history.py
@@ -122,14 +122,15 @@
         """Commit one group of entries, if there are any; tried again when the store is away."""
         if self._batch is None and not self._open_batch():
             return
+        batch, key = self._batch, self._batch_key
         try:
-            lease = self._lease.current()
-            self._store.put(self._batch_key, encode(self._batch), expected=0, lease=lease)
+            self._store.put(key, encode(batch), expected=0, lease=self._lease.current())
         except StoreUnavailable:
             return
         except StoreConflict:
             pass  # the key is this writer's own: an earlier attempt took effect unheard
-        self._batch = None
+        if self._batch is batch:  # a planned stop commits beside the loop
+            self._batch = None
 
     def read(self, hours: int, job: str = "") -> tuple[HistoryEntry, ...]:
         """Return the entries of the last hours, oldest first.
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -246,6 +246,7 @@
         end = self._clock.now() + self._settings.stop_within_s
         self._entry_service.drain()
         self._clock.sleep(self._settings.drain_s)
+        self._history.commit()  # before the wait below: a slow store must not hide late requests
         quiet_since = self._clock.now()
         while self._clock.now() < end:
             if self._entry_service.in_flight:
@@ -255,6 +256,5 @@
             self._clock.sleep(STOP_POLL_S)
         self._entry_service.close()
         self._control_service.close()
-        self._history.commit()
         self._log.emit(LogEvent.VM_STOPPED)
         self._stopped.set()
--- a/tests/test_vm.py
+++ b/tests/test_vm.py
@@ -1,6 +1,7 @@
 """Readiness of an entry VM on virtual time."""
 
 from pathlib import Path
+from types import SimpleNamespace
 
 import attrs
 from fakes import VirtualClock
@@ -11,6 +12,8 @@
 from lacewingmill.settings import load_settings
 from lacewingmill.vm import EntryVm
 
+STOP_DRAIN_S = 1.0
+
 
 @attrs.define
 class Stub:
@@ -24,7 +27,7 @@
     path = tmp_path / "vm.yaml"
     path.write_text(
         "vm: a\nfailure_domain: d\nlisten: 127.0.0.1:1\ncontrol: 127.0.0.1:2\n"
-        "store: 127.0.0.1:3\nvm_list: 127.0.0.1:4\nstale_after: 60 s\n"
+        "store: 127.0.0.1:3\nvm_list: 127.0.0.1:4\nstale_after: 60 s\ndrain: 1 s\n"
     )
     clock, fleet, catalogue = VirtualClock(), FleetView("a"), Stub()
     vm = EntryVm(load_settings(path), clock, EventLog("a"), None, Stub(), None, fleet)
@@ -50,3 +53,32 @@
     assert "cut off" in vm.why_not_ready()
     fleet.peer_heard("b", PeerState(clock.now()))
     assert vm.why_not_ready() == ""
+
+
+@attrs.define
+class EntryService:
+    """An entry service whose requests in flight a test sets."""
+
+    in_flight: int = 0
+
+    def drain(self):
+        """Nothing to do."""
+
+    def close(self):
+        """Nothing to do."""
+
+
+def test_planned_stop_waits_for_requests_that_came_while_the_history_was_written(tmp_path):
+    vm, clock, _, _ = make_vm(tmp_path)
+    entry = EntryService()
+    vm._elector = SimpleNamespace(hand_over=lambda: None)
+    vm._history = SimpleNamespace(commit=lambda: clock.sleep(1.5))  # the store is slow
+    vm._entry_service = vm._control_service = entry
+    vm.begin_stop()
+    clock.advance(STOP_DRAIN_S + 1.0)
+    entry.in_flight = 1
+    clock.advance(5.0)
+    assert not vm._stopped.is_set()
+    entry.in_flight = 0
+    clock.advance(5.0)
+    assert vm._stopped.is_set()
