Take a worker that fails everything into the fixed set of failures

Before: the set of the Guild ended with store_answers_lost+store_slow. The three ways to start a fleet for it are one function now.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,7 +12,11 @@
         (
             GUILD,
             22000,
-            ("owner_killed+store_down", "owner_paused", "store_answers_lost+store_slow"),
+            (
+                "owner_killed+store_down",
+                "owner_paused",
+                "store_answers_lost+store_slow+worker_fails_all",
+            ),
         ),
         (
             WASCHPLAN,
@@ -22,19 +26,13 @@
     ],
 )
 def test_promises_hold_under_failures(deployment, base_port, faults):
-    fleet = Fleet(deployment, base_port)
-    try:
-        fleet.start()
-        fleet.publish(deployment.examples)
-        report = run_faults(fleet, 1, faults)
-    finally:
-        fleet.stop()
+    report = run_on_fleet(deployment, base_port, 1, faults)
     assert not report.broken, report
     assert report.answered > report.sent / 2, report
 
 
 def test_planned_stops_cut_no_request():
-    report = run_on_fleet(22800, 2, ("planned_stop", "planned_stop"))
+    report = run_on_fleet(GUILD, 22800, 2, ("planned_stop", "planned_stop"))
     assert not report.broken, report
     assert report.cut == 0, report
     assert report.unknown == 0, report
@@ -42,7 +40,7 @@
 
 def test_planned_stops_beside_other_failures_cut_no_request():
     faults = ("planned_stop+store_slow", "planned_stop+store_down", "executor_silent+planned_stop")
-    report = run_on_fleet(22800, 3, faults)
+    report = run_on_fleet(GUILD, 22800, 3, faults)
     assert not report.broken, report
     assert report.cut == 0, report
 
@@ -54,16 +52,16 @@
         "store_slow+target_leaving",
         "target_leaving+vm_killed",
     )
-    report = run_on_fleet(22800, 4, faults)
+    report = run_on_fleet(GUILD, 22800, 4, faults)
     assert report.work_for_leaving == 0, report
     assert not report.broken, report
 
 
-def run_on_fleet(base_port, seed, faults):
-    fleet = Fleet(GUILD, base_port)
+def run_on_fleet(deployment, base_port, seed, faults):
+    fleet = Fleet(deployment, base_port)
     try:
         fleet.start()
-        fleet.publish(GUILD.examples)
+        fleet.publish(deployment.examples)
         return run_faults(fleet, seed, faults)
     finally:
         fleet.stop()
