Make one piece of code serve where two stood; drop what nothing reads

Cause: read again whole. The order to let a worker leave stood in two handlers, the search for an owner that answers in two calls of the client, a change of the VM list in two tests and the injector; the driver had two methods to feed the scheduler; lease states were written as text beside their names; the jobs that are being moved kept a value that nobody read. Weights are the bench's alone and moved there. Ruled out: one class for the two events that are swapped when they fire (two lines each).

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -12,10 +12,8 @@
 import gevent
 
 from bench.load import CallOutcome, LedgerVerdict, Load, judge_ledger, read_ledger
-from lacewingmill.adapters.http_client import HttpCaller
-from lacewingmill.codec import encode_json
 from lacewingmill.exceptions import TransportError
-from lacewingmill.models import Role, Vm, VmState
+from lacewingmill.models import Role, VmState
 from standins.fleet import DEPLOYMENTS, Fleet, list_vms
 
 __all__ = ["FAULTS", "FaultReport", "Injector", "run_faults"]
@@ -27,7 +25,6 @@
 RECOVERY_LIMIT_S = 30.0
 PROBE_S = 0.1
 LEAVING_KNOWN_S = 5.0
-CALL_TIMEOUT_S = 5.0
 
 
 class Injector:
@@ -125,22 +122,12 @@
         """Let an executor leave, and count the work it still gets once that must be known."""
         vms = list_vms(self._fleet.deployment, self._fleet.ports)
         executor = self._rng.choice([vm for vm in vms if vm.role is Role.EXECUTOR])
-        self._list(attrs.evolve(executor, state=VmState.LEAVING))
+        self._fleet.change_list(attrs.evolve(executor, state=VmState.LEAVING))
         gevent.sleep(LEAVING_KNOWN_S)
         before = self._executions(executor.name)
         gevent.sleep(HOLD_S)
         self.work_for_leaving += self._executions(executor.name) - before
-        self._list(executor)
-
-    def _list(self, vm: Vm) -> None:
-        """Change the list, on a new connection: open ones may have gone silent."""
-        HttpCaller().call(
-            self._fleet.ports.vm_list,
-            "PUT",
-            "/vms",
-            body=encode_json(vm),
-            timeout_s=CALL_TIMEOUT_S,
-        )
+        self._fleet.change_list(executor)
 
     def _executions(self, name: str) -> int:
         return sum(1 for row in read_ledger(self._fleet) if row.who == name)
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -8,8 +8,7 @@
 from bench.baselines import BestFitBackfill, FirstFit
 from bench.bounds import all_workers, relaxation_mean_s, workers_left
 from bench.simulate import Policy, RunRecord, Simulation
-from bench.workload import DEPLOYMENTS, JOBS, Deployment, make_workload
-from lacewingmill.models import Weights
+from bench.workload import DEPLOYMENTS, JOBS, Weights, make_workload
 from lacewingmill.scheduling.order import OrderRules
 from lacewingmill.scheduling.scheduler import Scheduler
 
@@ -68,7 +67,7 @@
 LATEST_CLAIM_START_S = 5.6
 
 
-def make_policy(name: str, deployment: Deployment, rules: OrderRules | None = None) -> Policy:
+def make_policy(name: str, rules: OrderRules | None = None) -> Policy:
     """Return a policy by name.
 
     :raises KeyError: when there is no such policy.
@@ -100,7 +99,7 @@
     """Run a policy over a scenario and return its figures and promises."""
     deployment = DEPLOYMENTS[deployment_name]
     workload = make_workload(deployment, scenario, seed, jobs_wanted)
-    simulation = Simulation(deployment, workload, make_policy(policy_name, deployment, rules))
+    simulation = Simulation(deployment, workload, make_policy(policy_name, rules))
     simulation.run()
     records = list(simulation.records.values())
     done = [record for record in records if record.outcome in ("done", "unknown")]
--- a/bench/simulate.py
+++ b/bench/simulate.py
@@ -102,7 +102,6 @@
         self._open_claims: dict = {}
         self._allowed = {slot.key: slot.count for slot in deployment.configuration().slots}
         self._fragmented_s = 0.0
-        self._inevitable_s = 0.0
         self._measured_s = 0.0
         self._waiting: collections.Counter[Shape] = collections.Counter()
         self._fragmented_wait_s = 0.0
@@ -127,11 +126,6 @@
         """Time that gangs waited for adjacency alone, in gang-seconds."""
         return self._adjacency_wait_s
 
-    @property
-    def inevitable_fragmentation(self) -> float:
-        """What the fragmentation would be with the same free accelerators all in one block."""
-        return self._inevitable_s / self._measured_s if self._measured_s else 0.0
-
     def run(self) -> None:
         """Run until every job has ended, or far past the measured window."""
         for node in self._deployment.nodes():
@@ -174,7 +168,6 @@
         self._fragmented_s += span * share
         self._fragmented_wait_s += span * share * gangs
         self._adjacency_wait_s += span * gangs
-        self._inevitable_s += span * inevitable_share(cluster.free_accelerators, mix)
         self._measured_s += span
 
     def _waiting_for_adjacency(self, cluster: Cluster) -> int:
@@ -369,10 +362,3 @@
         key = record.timed.job.slot_key
         if record.timed.job.claims and key in self._open_claims:
             self._open_claims[key] -= 1
-
-
-def inevitable_share(free: int, mix: tuple[Shape, ...]) -> float:
-    """Return the fragmentation of so many free accelerators when they are all adjacent."""
-    if free == 0 or not mix:
-        return 0.0
-    return sum(free % shape.accelerators for shape in mix) / (free * len(mix))
--- a/bench/table.py
+++ b/bench/table.py
@@ -9,8 +9,7 @@
 import numpy as np
 
 from bench.measure import POLICIES, Checks, Measured, measure_run, weigh
-from bench.workload import DEPLOYMENTS, SCENARIOS
-from lacewingmill.models import Weights
+from bench.workload import DEPLOYMENTS, SCENARIOS, Weights
 
 OUT = Path("bench/out")
 PROCESSES = 4
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -8,7 +8,7 @@
 import attrs
 import numpy as np
 
-from lacewingmill.models import Adjacency, Shape, Weights
+from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.messages import (
     GuaranteedSlots,
     GuaranteesChanged,
@@ -17,7 +17,15 @@
     WorkerNode,
 )
 
-__all__ = ["DEPLOYMENTS", "SCENARIOS", "Deployment", "TimedJob", "Workload", "make_workload"]
+__all__ = [
+    "DEPLOYMENTS",
+    "SCENARIOS",
+    "Deployment",
+    "TimedJob",
+    "Weights",
+    "Workload",
+    "make_workload",
+]
 
 LOAD = 0.9
 BURST_LOAD = 1.3
@@ -41,6 +49,14 @@
 )
 
 
+@attrs.frozen
+class Weights:
+    """How a deployment weighs its two measures; they sum to one."""
+
+    completion_time: float = 0.5
+    fragmentation: float = 0.5
+
+
 @attrs.frozen
 class JobKind:
     """A kind of job.
--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -19,6 +19,7 @@
 from lacewingmill.ports import (
     ApplicationAnswer,
     Clock,
+    LeaseState,
     WorkerLease,
     WorkerPort,
 )
@@ -102,7 +103,7 @@
             return
         self._works.add(submit)
         job = attrs.evolve(submit.job, submitted_at=self._clock.now())
-        self._feed(JobSubmitted(job))
+        self.feed(JobSubmitted(job))
 
     def adopt(self, submit: SubmitJob, gang: Gang, done_s: float) -> None:
         """Take over a gang found running; its event to the scheduler is fed by the recovery.
@@ -124,7 +125,10 @@
 
     def feed(self, event: Event) -> None:
         """Pass an event to the scheduler and carry its actions out."""
-        self._feed(event)
+        if self.deposed:
+            return
+        for action in self._scheduler.handle(event, self._clock.now()):
+            self._act(action)
 
     def report(self, job_id: str, wait_s: float) -> JobReport | None:
         """Return a job's report, waiting for its end at most ``wait_s``; ``None`` if unheard of."""
@@ -167,7 +171,7 @@
         orphans = []
         for lease in leases:
             work = self._works.find_gang(lease.gang)
-            active = lease.state in ("leased", "running")
+            active = lease.state in (LeaseState.LEASED, LeaseState.RUNNING)
             if work is None or work.gang is None:
                 if active:
                     self._log.emit(LogEvent.ORPHAN_RELEASED, worker=worker, gang=lease.gang)
@@ -176,33 +180,33 @@
             gang = work.gang
             if gang.closing or not gang.started or active:
                 continue
-            if lease.state == "done" and worker == gang.workers[0]:
+            if lease.state == LeaseState.DONE and worker == gang.workers[0]:
                 gevent.spawn(self._guarded, self._finish, work, gang, lease.result)
-            elif lease.state in ("failed", "stopped"):
+            elif lease.state in (LeaseState.FAILED, LeaseState.STOPPED):
                 gevent.spawn(self._guarded, self._fail_member, work, gang, worker)
         return orphans
 
     def worker_joined(self, vm: Vm) -> None:
         """A worker's lease table is known and holds no orphans."""
         self._log.emit(LogEvent.WORKER_JOINED, worker=vm.name)
-        self._feed(WorkerJoined(worker_node(vm), vm.state is VmState.LEAVING))
+        self.feed(WorkerJoined(worker_node(vm), vm.state is VmState.LEAVING))
 
     def worker_leaving(self, worker: str, *, stays: bool) -> None:
         """A worker is leaving, or stays after all; its gangs run on."""
-        self._feed(WorkerLeaving(worker, stays))
+        self.feed(WorkerLeaving(worker, stays))
 
     def worker_silent(self, worker: str) -> None:
         """A worker did not answer in time."""
-        self._feed(WorkerSilent(worker))
+        self.feed(WorkerSilent(worker))
 
     def worker_answered(self, worker: str) -> None:
         """A worker that was silent answers again."""
-        self._feed(WorkerAnswered(worker))
+        self.feed(WorkerAnswered(worker))
 
     def worker_lost(self, worker: str, *, left: bool) -> None:
         """A worker keeps silent, or has left for good."""
         self._log.emit(LogEvent.WORKER_LOST, worker=worker, left=left)
-        self._feed(WorkerLost(worker, left))
+        self.feed(WorkerLost(worker, left))
 
     def fenced(self) -> None:
         """A worker has accepted a higher fence."""
@@ -211,12 +215,6 @@
         self._log.emit(LogEvent.CELL_LOST, fence=attrs.astuple(self.fence))
         self.stop()
 
-    def _feed(self, event: Event) -> None:
-        if self.deposed:
-            return
-        for action in self._scheduler.handle(event, self._clock.now()):
-            self._act(action)
-
     @singledispatchmethod
     def _act(self, action: Action) -> None:
         raise TypeError(f"unknown action {type(action).__name__}")
@@ -278,7 +276,7 @@
         if failure is None:
             self._log.emit(LogEvent.GANG_STARTED, gang=gang_id, workers=gang.workers)
             work.report = JobReport(job.job_id, JobPhase.RUNNING)
-            self._feed(GangStarted(job.job_id))
+            self.feed(GangStarted(job.job_id))
             return
         self._works.end_gang(work, gang)
         self._reject(work, gang, failure)
@@ -288,12 +286,12 @@
         self._log.emit(LogEvent.GANG_REJECTED, gang=gang.gang_id, reason=failure.reason)
         if failure.executed and not job.idempotent:
             self._works.close_unknown(work, UNKNOWN_START, "start", failure.worker)
-            self._feed(JobCancelled(job.job_id))
+            self.feed(JobCancelled(job.job_id))
             return
         if failure.silent:
-            self._feed(WorkerSilent(failure.worker))
+            self.feed(WorkerSilent(failure.worker))
         if failure.worker:
-            self._feed(GangRejected(job.job_id, failure.worker, failure.silent))
+            self.feed(GangRejected(job.job_id, failure.worker, failure.silent))
 
     def _claim(self, work: Work, gang: Gang) -> bool:
         """Claim non-idempotent work in the store; return whether the gang may be sent."""
@@ -315,7 +313,7 @@
         else:
             reason = "a request with this idempotency key was claimed before; its answer is unknown"
             self._works.close_unknown(work, reason, "claim", "")
-        self._feed(JobCancelled(job_id))
+        self.feed(JobCancelled(job_id))
 
     def _evict(self, work: Work, action: EvictGang) -> None:
         if work.gang is not None and not work.gang.started:
@@ -326,7 +324,7 @@
     def _evict_locked(self, work: Work, action: EvictGang) -> None:
         gang = work.gang
         if gang is None or gang.closing:
-            self._feed(GangReleased(action.job_id, 0.0))  # nothing is held any more
+            self.feed(GangReleased(action.job_id, 0.0))  # nothing is held any more
             return
         ran_s = self._clock.now() - gang.started_at if gang.started else 0.0
         released = self._runner.release(gang, checkpoint=action.checkpoint)
@@ -338,7 +336,7 @@
         work.done_s += saved_s
         work.report = JobReport(action.job_id, JobPhase.WAITING)
         self._log.emit(LogEvent.GANG_EVICTED, gang=gang.gang_id, for_job=action.for_job)
-        self._feed(GangReleased(action.job_id, saved_s))
+        self.feed(GangReleased(action.job_id, saved_s))
 
     def _stop_gang(self, gang: Gang, reason: str) -> None:
         self._runner.release(gang, checkpoint=False)
@@ -360,7 +358,7 @@
         self._works.close(work, JobReport(job.job_id, JobPhase.DONE, answer))
         self._runner.release(gang, checkpoint=False)
         self._works.end_gang(work, gang)
-        self._feed(JobFinished(job.job_id, run_s))
+        self.feed(JobFinished(job.job_id, run_s))
         if not job.idempotent:
             self._claims.settle(work, gang, answer)
 
@@ -370,7 +368,7 @@
         self._runner.release(gang, checkpoint=False)
         self._works.end_gang(work, gang)
         work.report = JobReport(work.submit.job.job_id, JobPhase.WAITING)
-        self._feed(JobFailed(work.submit.job.job_id, worker))
+        self.feed(JobFailed(work.submit.job.job_id, worker))
 
     def _cancel(self, work: Work, reason: str) -> None:
         """End a job early; it was not run only if no gang of it may have been started."""
@@ -379,7 +377,7 @@
             self._works.close(work, JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="wait"))
         else:
             self._works.close_unknown(work, reason, "run", "")
-        self._feed(JobCancelled(job_id))
+        self.feed(JobCancelled(job_id))
 
     def _tick_forever(self) -> None:
         while not self.deposed:
@@ -387,5 +385,5 @@
             self._works.expire()
             for work in self._works.overdue():
                 self._cancel(work, "the deadline passed while the job waited")
-            self._feed(Tick())
+            self.feed(Tick())
             self._troubles.look()
--- a/src/lacewingmill/client.py
+++ b/src/lacewingmill/client.py
@@ -99,26 +99,23 @@
 
     def cell(self) -> CellStatus | None:
         """Return the status of the cell, or ``None`` when no owner answers."""
-        for status in self.statuses():
-            if status.owner is None:
-                continue
-            try:
-                reply = self._get(status.owner.control, "/cell/status")
-            except PeerError:
-                continue
-            return msgspec.json.decode(reply.body, type=CellStatus)
-        return None
+        reply = self._ask_owner("/cell/status")
+        return msgspec.json.decode(reply.body, type=CellStatus) if reply else None
 
     def job(self, job_id: str) -> JobReport | None:
         """Return the report of a job, or ``None`` when the owner does not know it."""
+        reply = self._ask_owner(f"/cell/jobs/{job_id}")
+        return decode(reply.body, JobReport) if reply else None
+
+    def _ask_owner(self, path: str) -> HttpReply | None:
+        """Ask whom each VM takes for the owner, until one answers; ``None`` when none does."""
         for status in self.statuses():
             if status.owner is None:
                 continue
             try:
-                reply = self._get(status.owner.control, f"/cell/jobs/{job_id}")
+                return self._get(status.owner.control, path)
             except PeerError:
                 continue
-            return decode(reply.body, JobReport)
         return None
 
     def explain(self, job_id: str, hours: int) -> JobReport | None:
--- a/src/lacewingmill/membership/view.py
+++ b/src/lacewingmill/membership/view.py
@@ -90,15 +90,6 @@
             if vm.role is Role.ENTRY and vm.name != self._vm
         )
 
-    def live_peers(self, now: float) -> tuple[Vm, ...]:
-        """Return the other entry VMs that answered heartbeats lately."""
-        return tuple(
-            vm
-            for vm in self.peers()
-            if (state := self._peers.get(vm.name)) is not None
-            and now - state.heard_at <= PEER_SILENT_S
-        )
-
     def last_heard(self) -> float | None:
         """Return when any peer was heard last, in seconds; ``None`` if never."""
         return max((state.heard_at for state in self._peers.values()), default=None)
--- a/src/lacewingmill/models.py
+++ b/src/lacewingmill/models.py
@@ -24,7 +24,6 @@
     "Team",
     "Vm",
     "VmState",
-    "Weights",
 ]
 
 
@@ -232,11 +231,3 @@
     vm: str
     control: str
     fence: Fence
-
-
-@attrs.frozen
-class Weights:
-    """How a deployment weighs its two measures; they sum to one."""
-
-    completion_time: float = 0.5
-    fragmentation: float = 0.5
--- a/src/lacewingmill/scheduling/healer.py
+++ b/src/lacewingmill/scheduling/healer.py
@@ -49,5 +49,5 @@
             until = now + self._state.rules.reserve_least_s
             self._state.reservation = Reservation(for_job, frozenset({move.worker}), until)
         for job_id in move.jobs:
-            self._state.moving[job_id] = for_job
+            self._state.moving.add(job_id)
             self._state.evict(self._state.records[job_id], for_job or "a whole block", now)
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -171,7 +171,7 @@
         if record is None or record.state is not JobState.EVICTING:
             return
         record.done_s += event.saved_s
-        self._state.moving.pop(event.job_id, None)
+        self._state.moving.discard(event.job_id)
         if record.cancelled:
             self._state.end(record)
             return
@@ -206,9 +206,8 @@
             return
         self._state.cluster.add(event.node)
         if event.leaving:
-            self._state.leaving.add(event.node.worker)
-            self._state.cluster.forget(event.node.worker)
-            self._state.cluster.close(event.node.worker)
+            self._state.let_leave(event.node.worker, now)
+            return
         self._state.book.home_all()
         self._state.reservation = None
 
@@ -254,9 +253,7 @@
             state.cluster.known(node.info)
             state.open_worker(event.worker)
             return
-        state.leaving.add(event.worker)
-        state.cluster.forget(event.worker)
-        state.close_worker(event.worker, now)
+        state.let_leave(event.worker, now)
 
     @_apply.register
     def _(self, event: GuaranteesChanged, now: float) -> None:
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -39,7 +39,7 @@
         self.limits: dict[tuple[str, str], int] = {}
         self.held: dict[tuple[str, str], int] = {}
         self.reservation: Reservation | None = None
-        self.moving: dict[str, str] = {}
+        self.moving: set[str] = set()
         self.silent: set[str] = set()
         self.leaving: set[str] = set()
         self.actions: list[Action] = []
@@ -77,7 +77,7 @@
         """Forget a job that is over."""
         self.vacate(record)
         self.queue.pop(record.job.job_id, None)
-        self.moving.pop(record.job.job_id, None)
+        self.moving.discard(record.job.job_id)
         del self.records[record.job.job_id]
 
     def vacate(self, record: JobRecord) -> None:
@@ -126,6 +126,12 @@
         self.drop_pending_on(worker, now)
         self.reservation = None
 
+    def let_leave(self, worker: str, now: float) -> None:
+        """Close a worker that is leaving; its gangs run on, and no job is to wait for it."""
+        self.leaving.add(worker)
+        self.cluster.forget(worker)
+        self.close_worker(worker, now)
+
     def open_worker(self, worker: str) -> None:
         """Let placements use a worker again, unless another cause keeps it closed."""
         closed = worker in self.silent or worker in self.leaving
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -27,6 +27,7 @@
 
 READY_WAIT_S = 30.0
 STOP_WAIT_S = 15.0
+CALL_TIMEOUT_S = 5.0
 POLL_S = 0.1
 
 
@@ -190,12 +191,20 @@
 
     def fault(self, address: str, switches: dict) -> None:
         """Set fault switches of the stand-in at an address."""
-        self.caller.call(address, "POST", "/faults", body=encode_json(switches), timeout_s=5.0)
+        self.caller.call(
+            address, "POST", "/faults", body=encode_json(switches), timeout_s=CALL_TIMEOUT_S
+        )
+
+    def change_list(self, vm: Vm) -> None:
+        """Show a VM as given in the VM list, over a new connection: open ones may be silent."""
+        HttpCaller().call(
+            self.ports.vm_list, "PUT", "/vms", body=encode_json(vm), timeout_s=CALL_TIMEOUT_S
+        )
 
     def overlook(self, order: str, name: str) -> None:
         """Kill or revive a target by name."""
         path = f"/{order}?name={name}"
-        self.caller.call(self.ports.ledgers, "POST", path, timeout_s=5.0)
+        self.caller.call(self.ports.ledgers, "POST", path, timeout_s=CALL_TIMEOUT_S)
 
     def stop(self) -> None:
         """Stop all processes that this fleet started."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,7 +14,6 @@
 from bench.faults import find_owner
 from bench.load import read_ledger
 from lacewingmill.client import OperatorClient
-from lacewingmill.codec import encode_json
 from lacewingmill.models import Role, VmState
 from lacewingmill.routing.jobs import make_job_id
 from standins.fleet import list_vms
@@ -63,9 +62,7 @@
 def test_leaving_executor_gets_no_new_work_after_seconds(guild_fleet):
     vms = list_vms(guild_fleet.deployment, guild_fleet.ports)
     leaving = next(vm for vm in vms if vm.role is Role.EXECUTOR)
-    change = attrs.evolve(leaving, state=VmState.LEAVING)
-    call = guild_fleet.caller.call
-    call(guild_fleet.ports.vm_list, "PUT", "/vms", body=encode_json(change), timeout_s=5.0)
+    guild_fleet.change_list(attrs.evolve(leaving, state=VmState.LEAVING))
     gevent.sleep(LEAVING_KNOWN_S)
     answered = {
         assert_own_answer(
@@ -171,10 +168,7 @@
     assert len(leaving) == 2
     for vm in list_vms(guild_fleet.deployment, guild_fleet.ports):
         if vm.name in leaving:
-            change = encode_json(attrs.evolve(vm, state=VmState.LEAVING))
-            guild_fleet.caller.call(
-                guild_fleet.ports.vm_list, "PUT", "/vms", body=change, timeout_s=5.0
-            )
+            guild_fleet.change_list(attrs.evolve(vm, state=VmState.LEAVING))
     gevent.sleep(LEAVING_KNOWN_S)
     for number in range(30):
         key = f"match-{number}"
