--- a/src/lacewingmill/adapters/clock.py
+++ b/src/lacewingmill/adapters/clock.py
@@ -11,8 +11,8 @@
     """Time of the gevent loop."""
 
     def now(self) -> float:
-        """Return monotonic time, in seconds."""
-        return time.monotonic()
+        """Return monotonic time that counts while the VM is suspended, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return wall-clock time, in seconds since the epoch."""
--- a/src/lacewingmill/adapters/http_server.py
+++ b/src/lacewingmill/adapters/http_server.py
@@ -21,6 +21,7 @@
     202: "Accepted",
     204: "No Content",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
--- a/src/lacewingmill/adapters/metrics.py
+++ b/src/lacewingmill/adapters/metrics.py
@@ -36,11 +36,19 @@
             explicit_bucket_boundaries_advisory=SECONDS_BUCKETS,
         )
 
+        self._store_calls = self._meter.create_counter(
+            "lacewingmill_store_calls", description="Calls to the store by kind and outcome"
+        )
+
     def request_ended(self, route: str, outcome: str, seconds: float) -> None:
         """Count a request and its time."""
         self._requests.add(1, {"route": route, "outcome": outcome})
         self._seconds.record(seconds, {"route": route})
 
+    def store_called(self, kind: str, outcome: str) -> None:
+        """Count a call to the key-value store."""
+        self._store_calls.add(1, {"kind": kind, "outcome": outcome})
+
     def watch(self, name: str, description: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read when the metrics are."""
 
--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -2,6 +2,7 @@
 
 import argparse
 import getpass
+import os
 import signal
 import sys
 import uuid
@@ -26,6 +27,9 @@
 __all__ = ["ExitCode", "main"]
 
 
+SETTINGS_VARIABLE = "LACEWINGMILL_SETTINGS"
+
+
 class ExitCode:
     """Exit codes of all commands; docs/OPERATING.md lists them."""
 
@@ -67,6 +71,13 @@
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     serve = _add(commands, "serve", _serve, "run an entry VM")
     serve.add_argument("--settings", type=Path, required=True, help="YAML settings of this VM")
+    serve_jobs = _add(commands, "serve-jobs", _serve_jobs, "run a VM on the users' platform")
+    serve_jobs.add_argument(
+        "--settings",
+        type=Path,
+        default=os.environ.get(SETTINGS_VARIABLE),
+        help=f"the platform's settings of this VM; ${SETTINGS_VARIABLE} by default",
+    )
     check = _add(commands, "check", _check, "check the service files under a directory")
     check.add_argument("directory", type=Path)
     publish = _add(commands, "publish", _publish, "check and publish service files")
@@ -106,7 +117,25 @@
 
     settings = load_settings(args.settings)
     configure_logging()
-    vm = build_vm(settings)
+    return _run_vm(build_vm(settings))
+
+
+def _serve_jobs(args: argparse.Namespace) -> int:
+    gevent.config.resolver = "block"  # addresses are IP numbers; other resolvers start threads
+    from lacewingmill.events import configure_logging
+    from lacewingmill.job_composition import build_job_vm
+    from lacewingmill.platform import load_platform_settings
+
+    if args.settings is None:
+        raise SettingsError(
+            f"neither --settings nor ${SETTINGS_VARIABLE} is given", step="settings"
+        )
+    configure_logging(sys.stdout)
+    return _run_vm(build_job_vm(load_platform_settings(Path(args.settings))))
+
+
+def _run_vm(vm) -> int:
+    """Run a VM until SIGTERM or SIGINT has stopped it."""
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, vm.begin_stop)
     vm.start()
--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -3,7 +3,7 @@
 import enum
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TextIO
 
 import structlog
 
@@ -44,6 +44,27 @@
     WORKER_LOST = (331, "warning", "A worker keeps silent or left; its gangs end whole.")
     WORKER_QUARANTINED = (332, "warning", "A worker fails job after job and takes none for now.")
     ORPHAN_RELEASED = (333, "warning", "A worker held a gang that nobody owns; it was released.")
+    JOBS_TAKEN = (400, "info", "This VM directs the jobs of the platform under the given fence.")
+    JOBS_LOST = (401, "warning", "This VM directs the jobs no more; the reason is given.")
+    JOBS_LEASE_KEPT = (402, "warning", "An owner's lease could not be ended; it lapses by itself.")
+    JOBS_RECOVERED = (403, "info", "A new owner has read the jobs and what runs on the workers.")
+    JOB_ACCEPTED = (410, "info", "A job was stored, and its caller was told so.")
+    JOB_NOT_ACCEPTED = (411, "info", "A job was refused and never runs; the reason is given.")
+    JOB_DOUBTFUL = (412, "warning", "Whether a job was stored is not known; its caller asks again.")
+    JOB_TAKEN = (413, "info", "The owner has taken an accepted job in.")
+    JOB_CANCELLED = (414, "info", "A caller gave a job up.")
+    JOB_FAILED = (415, "warning", "A unit of a job failed as often as its queue allows.")
+    JOB_ENDED = (416, "info", "A job reached a final state.")
+    JOB_UNREADABLE = (417, "error", "A stored job cannot be read; it is passed over.")
+    UNIT_ORDERED = (420, "info", "The start of a unit was ordered.")
+    UNIT_REJECTED = (421, "warning", "A worker did not start a member; the unit is placed anew.")
+    UNIT_EVICTED = (422, "info", "A unit gives its workers back to another one.")
+    UNIT_PARKED = (423, "warning", "No set of workers could hold a unit; it is tried again later.")
+    RUN_ENDED = (424, "info", "A worker has listed the end of a run.")
+    STRAY_STOPPED = (425, "warning", "A worker ran what nobody wants; it was stopped.")
+    WORKER_SILENT = (430, "warning", "A worker does not answer or is not well; it gets no work.")
+    WORKER_UNLISTED = (431, "warning", "A worker is not in the store any more.")
+    WORKER_UNREADABLE = (432, "warning", "An entry of a worker cannot be read; it is passed over.")
     GUARANTEE_SHORTFALL = (340, "error", "A guaranteed shape cannot be reclaimed now.")
 
     def __init__(self, number: int, level: str, meaning: str):
@@ -74,13 +95,16 @@
             self._listener(event, fields)
 
 
-def configure_logging() -> None:
-    """Write log lines as JSON to standard error."""
+def configure_logging(stream: TextIO | None = None) -> None:
+    """Write log lines as JSON.
+
+    :param stream: where to; standard error by default.
+    """
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=stream or sys.stderr),
     )
--- a/src/lacewingmill/exceptions.py
+++ b/src/lacewingmill/exceptions.py
@@ -14,6 +14,11 @@
     "FenceRejected",
     "JobRefused",
     "LacewingmillError",
+    "WorkerReplaced",
+    "TransactionConflict",
+    "StoreRefused",
+    "LeaseEnded",
+    "HistoryLost",
     "NoTarget",
     "NotOwner",
     "OutcomeUnknown",
@@ -97,7 +102,14 @@
 
 
 class JobRefused(LacewingmillError):
-    """The work was refused and provably not run."""
+    """The work was refused and provably not run.
+
+    :param retry_s: when the caller had best come back, in seconds.
+    """
+
+    def __init__(self, message: str, *, retry_s: float = 1.0, step: str = "", peer: str = ""):
+        super().__init__(message, step=step, peer=peer)
+        self.retry_s = retry_s
 
 
 class QueueFull(JobRefused):
@@ -151,6 +163,33 @@
         self.current = current
 
 
+class StoreRefused(StoreUnavailable):
+    """The key-value service refused a call or was not reached; certainly nothing was done."""
+
+
+class HistoryLost(PeerError):
+    """The key-value service has forgotten changes that a watch asked for."""
+
+
+class LeaseEnded(PeerError):
+    """A lease of the key-value service has ended."""
+
+
+class TransactionConflict(PeerError):
+    """A condition of a transaction does not hold; nothing was written.
+
+    :param revisions: the revisions found by key, 0 for an absent key.
+    """
+
+    def __init__(self, message: str, *, revisions: dict[str, int], peer: str = ""):
+        super().__init__(message, step="transaction", peer=peer)
+        self.revisions = revisions
+
+
+class WorkerReplaced(PeerError):
+    """Another worker answers at the address of the one that was meant."""
+
+
 class FenceRejected(PeerError):
     """A worker has accepted a higher fence: this process is not the owner any more."""
 
--- /dev/null
+++ b/src/lacewingmill/job_composition.py
@@ -0,0 +1,81 @@
+"""The composition root of a VM on the users' platform."""
+
+import random
+import uuid
+from collections.abc import Callable
+
+from lacewingmill.adapters.clock import GeventClock
+from lacewingmill.adapters.http_client import HttpCaller
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest, HttpService
+from lacewingmill.adapters.metrics import Metrics
+from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.jobs.desk import DeskParts, JobDesk
+from lacewingmill.jobs.director import DirectorParts
+from lacewingmill.jobs.election import JobElector, JobOwner
+from lacewingmill.jobs.peers import OwnerCalls
+from lacewingmill.jobs.ports import WorkerEntry
+from lacewingmill.jobs.roster import Roster
+from lacewingmill.jobs.settings import JobVmSettings
+from lacewingmill.jobs.table_follower import TableFollower
+from lacewingmill.jobs.vm import JobVm
+from lacewingmill.platform import (
+    CONFIGURATION_KEY,
+    WORKER_PREFIX,
+    FrontHandler,
+    HttpTransactionStore,
+    HttpWorkerOrders,
+    ReadyHandler,
+    decode_configuration,
+    decode_worker,
+)
+
+__all__ = ["build_job_vm"]
+
+
+def build_job_vm(settings: JobVmSettings) -> JobVm:
+    """Build a VM from the platform's settings."""
+    clock = GeventClock()
+    caller = HttpCaller()
+    log = EventLog(settings.vm)
+    metrics = Metrics(settings.vm)
+    store = HttpTransactionStore(settings.store, caller, metrics.store_called)
+    follower = TableFollower(store, clock, log, CONFIGURATION_KEY, decode_configuration)
+    parts = DirectorParts(
+        store, HttpWorkerOrders(caller), clock, log, settings.limits, lambda: follower.table
+    )
+
+    def roster_of(changed: Callable[[dict[str, WorkerEntry]], None]) -> Roster:
+        return Roster(store, clock, log, WORKER_PREFIX, decode_worker, changed)
+
+    vm = JobVm(settings, parts, clock, log, follower, roster_of)
+    me = JobOwner(settings.vm, settings.peers, uuid.uuid4().hex, 0, 0)
+    elector = JobElector(
+        me, store, clock, log, vm.take, vm.leave, lambda owner: None, random.Random()
+    )
+    desk = JobDesk(
+        DeskParts(
+            store,
+            OwnerCalls(caller),
+            clock,
+            log,
+            lambda: follower.table,
+            lambda: vm.director,
+            lambda: elector.owner,
+            settings.vm,
+        )
+    )
+
+    def crashed(exc: BaseException) -> None:
+        log.emit(LogEvent.REQUEST_CRASHED, error=repr(exc))
+
+    def show_metrics(req: HttpRequest) -> HttpAnswer:
+        return HttpAnswer(200, metrics.render(), "text/plain")
+
+    vm.attach(
+        elector,
+        HttpService(settings.front, FrontHandler(desk).handle, crashed),
+        HttpService(settings.ready, ReadyHandler(vm.why_not_ready).handle, crashed),
+        HttpService(settings.peers, desk.handle_peer, crashed),
+        HttpService(settings.metrics, show_metrics, crashed),
+    )
+    return vm
--- /dev/null
+++ b/src/lacewingmill/jobs/desk.py
@@ -0,0 +1,309 @@
+"""Serves callers on any VM: stores jobs, and asks the owner or the store about them."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import attrs
+import gevent
+import msgspec
+
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest
+from lacewingmill.codec import decode, encode
+from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.exceptions import (
+    JobRefused,
+    NotOwner,
+    OutcomeUnknown,
+    StoreRefused,
+    StoreUnavailable,
+    TransactionConflict,
+    TransportError,
+)
+from lacewingmill.jobs.director import Director
+from lacewingmill.jobs.election import JobOwner
+from lacewingmill.jobs.graph import Progress
+from lacewingmill.jobs.keys import cancel_key, job_key, progress_key
+from lacewingmill.jobs.model import JobState, QueueTable, Submission
+from lacewingmill.jobs.peers import (
+    Accepted,
+    Ask,
+    CancelAsk,
+    OwnerCalls,
+    StateAsk,
+    SubmitAsk,
+    Told,
+    WaitingAsk,
+    decode_ask,
+)
+from lacewingmill.jobs.ports import ItemRevision, Put, Transaction, TransactionStore
+from lacewingmill.ports import Clock
+
+__all__ = ["DeskParts", "JobDesk"]
+
+RETRY_S = 0.1
+# A store that turns a VM away is asked again shortly, for a lost packet or a full second.
+REFUSALS_BEFORE_HELP = 2
+# Part of a caller's time after which it is told that the outcome is not known.
+DEADLINE_SHARE = 0.8
+# When a caller may come back while the store is away.
+STORE_AWAY_RETRY_S = 1.0
+OWNER_AWAY_RETRY_S = 1.0
+WAITING_FRESH_S = 0.7
+CANCEL_WAIT_S = 1.2
+
+
+@attrs.frozen
+class DeskParts:
+    """What a desk is built from.
+
+    :param director: returns the director while this VM directs the jobs.
+    :param owner: returns the VM that directs the jobs, as far as it is known.
+    """
+
+    store: TransactionStore
+    calls: OwnerCalls
+    clock: Clock
+    log: EventLog
+    table: Callable[[], QueueTable | None]
+    director: Callable[[], Director | None]
+    owner: Callable[[], JobOwner | None]
+    vm: str
+
+
+@attrs.frozen
+class _Count:
+    waiting: int
+    at: float
+
+
+class JobDesk:
+    """What callers of any VM may ask."""
+
+    def __init__(self, parts: DeskParts):
+        self._parts = parts
+        self._clock = parts.clock
+        self._log = parts.log
+        self._store = parts.store
+        self._counts: dict[str, _Count] = {}
+
+    @property
+    def table(self) -> QueueTable | None:
+        """The configuration in force."""
+        return self._parts.table()
+
+    def submit(self, submission: Submission, deadline_s: float) -> None:
+        """Store a job.
+
+        :param deadline_s: how long the caller waits, in seconds.
+        :raises JobRefused: when the job was certainly not stored.
+        :raises OutcomeUnknown: when it may have been stored, or may yet be.
+        """
+        submission = attrs.evolve(submission, accepted_at=self._clock.wall())
+        end = self._clock.now() + deadline_s * DEADLINE_SHARE
+        uncertain = False
+        refusals = 0
+        while True:
+            try:
+                self._accepted(submission, self._create(submission))
+                return
+            except TransactionConflict:
+                self._log.emit(LogEvent.JOB_ACCEPTED, job=submission.job_id, repeated=True)
+                return
+            except StoreRefused as exc:
+                refusals += 1
+                if not uncertain and refusals > REFUSALS_BEFORE_HELP:
+                    self._submit_through_owner(submission, exc.message)
+                    return
+            except StoreUnavailable:
+                uncertain = True
+            if self._clock.now() > end:
+                self._log.emit(LogEvent.JOB_DOUBTFUL, job=submission.job_id)
+                raise OutcomeUnknown("whether the job was stored is not known", step="submit")
+            self._clock.sleep(RETRY_S)
+
+    def state(self, job_id: str, team: str) -> JobState | None:
+        """Return the state of a job, or ``None`` when there is no such job of the team.
+
+        :raises JobRefused: when it cannot be read now.
+        """
+        try:
+            told = self._ask(StateAsk(job_id, team))
+            if told.known:
+                return told.state
+        except (TransportError, NotOwner):
+            pass  # the store knows all that is certain
+        try:
+            return self._read_state(job_id, team)
+        except StoreUnavailable as exc:
+            raise JobRefused(
+                f"the job's state cannot be read: {exc.message}", retry_s=STORE_AWAY_RETRY_S
+            ) from exc
+
+    def cancel(self, job_id: str, team: str) -> bool:
+        """Give a job up; return whether there is such a job of the team.
+
+        :raises JobRefused: when certainly nothing was done.
+        :raises OutcomeUnknown: when it is not known.
+        """
+        try:
+            if self._ask(CancelAsk(job_id, team)).known:
+                return True
+        except (TransportError, NotOwner):
+            pass  # a mark in the store reaches the next owner
+        try:
+            if self._read_state(job_id, team) is None:
+                return False
+            key = cancel_key(job_id)
+            self._store.commit(Transaction((ItemRevision(key, 0),), (Put(key, b"1"),)))
+        except TransactionConflict:
+            return True
+        except StoreRefused as exc:
+            raise JobRefused(exc.message, retry_s=STORE_AWAY_RETRY_S) from exc
+        except StoreUnavailable as exc:
+            raise OutcomeUnknown(exc.message, step="cancel") from exc
+        return True
+
+    def waiting(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue no task of which has started.
+
+        :raises JobRefused: when it is not known now.
+        """
+        count = self._counts.get(queue)
+        if count is not None and self._clock.now() - count.at < WAITING_FRESH_S:
+            return count.waiting
+        try:
+            told = self._ask(WaitingAsk(queue))
+        except (TransportError, NotOwner) as exc:
+            raise JobRefused(
+                "the VM that counts jobs does not answer", retry_s=OWNER_AWAY_RETRY_S
+            ) from exc
+        self._counts[queue] = _Count(told.waiting, self._clock.now())
+        return told.waiting
+
+    def handle_peer(self, req: HttpRequest) -> HttpAnswer:
+        """Answer a call of another VM."""
+        ask = decode_ask(req)
+        if isinstance(ask, HttpAnswer):
+            return ask
+        director = self._director()
+        if director is None:
+            return HttpAnswer(409, b"not the owner", "text/plain")
+        return HttpAnswer(200, encode(self._tell(ask, director)))
+
+    def _director(self) -> Director | None:
+        director = self._parts.director()
+        return director if director is not None and director.open else None
+
+    def _ask(self, ask: Ask) -> Told:
+        director = self._director()
+        if director is not None:
+            return self._tell(ask, director)
+        owner = self._parts.owner()
+        if owner is None or owner.vm == self._parts.vm:
+            raise NotOwner("no VM directs the jobs now", step="ask")
+        return self._parts.calls.ask(owner.address, ask)
+
+    @singledispatchmethod
+    def _tell(self, ask: Ask, director: Director) -> Told:
+        raise TypeError(f"unknown call {type(ask).__name__}")
+
+    @_tell.register
+    def _(self, ask: StateAsk, director: Director) -> Told:
+        if not self._owned(ask.job_id, ask.team, director):
+            return Told(known=False)
+        return Told(state=director.state(ask.job_id))
+
+    @_tell.register
+    def _(self, ask: CancelAsk, director: Director) -> Told:
+        if not self._owned(ask.job_id, ask.team, director):
+            return Told(known=False)
+        signal = director.cancel(ask.job_id)
+        if signal is None or not signal.wait(CANCEL_WAIT_S):
+            return Told(known=False)
+        return Told()
+
+    @_tell.register
+    def _(self, ask: Accepted, director: Director) -> Told:
+        director.submit(ask.submission, ask.revision)
+        return Told()
+
+    @_tell.register
+    def _(self, ask: SubmitAsk, director: Director) -> Told:
+        try:
+            revision = self._create(ask.submission)
+        except TransactionConflict:
+            return Told()
+        except StoreRefused as exc:
+            return Told(refused=exc.message)
+        director.submit(ask.submission, revision)
+        return Told()
+
+    @_tell.register
+    def _(self, ask: WaitingAsk, director: Director) -> Told:
+        return Told(waiting=director.waiting(ask.queue))
+
+    def _owned(self, job_id: str, team: str, director: Director) -> bool:
+        graph = director.graphs.get(job_id)
+        return graph is not None and _same_team(graph.submission, team)
+
+    def _create(self, submission: Submission) -> int:
+        key = job_key(submission.job_id)
+        return self._store.commit(
+            Transaction((ItemRevision(key, 0),), (Put(key, encode(submission)),))
+        )
+
+    def _accepted(self, submission: Submission, revision: int) -> None:
+        self._log.emit(
+            LogEvent.JOB_ACCEPTED,
+            job=submission.job_id,
+            queue=submission.queue,
+            team=submission.team,
+            revision=revision,
+        )
+        gevent.spawn(self._tell_owner, Accepted(submission, revision))
+
+    def _tell_owner(self, accepted: Accepted) -> None:
+        try:
+            self._ask(accepted)
+        except (TransportError, NotOwner):
+            return  # the owner finds the job in the store within a second
+
+    def _submit_through_owner(self, submission: Submission, reason: str) -> None:
+        """Let the owner store a job, for the store turns this VM away."""
+        owner = self._parts.owner()
+        if owner is None or owner.vm == self._parts.vm:
+            self._refuse(submission, reason)
+        try:
+            told = self._parts.calls.ask(owner.address, SubmitAsk(submission))
+        except NotOwner as exc:
+            self._refuse(submission, exc.message)
+        except TransportError as exc:
+            self._log.emit(LogEvent.JOB_DOUBTFUL, job=submission.job_id, reason=exc.message)
+            raise OutcomeUnknown("whether the job was stored is not known", step="submit") from exc
+        if told.refused:
+            self._refuse(submission, told.refused)
+        self._log.emit(LogEvent.JOB_ACCEPTED, job=submission.job_id, through=owner.vm)
+
+    def _refuse(self, submission: Submission, reason: str) -> None:
+        self._log.emit(LogEvent.JOB_NOT_ACCEPTED, job=submission.job_id, reason=reason)
+        raise JobRefused(f"the job was not stored: {reason}", retry_s=STORE_AWAY_RETRY_S)
+
+    def _read_state(self, job_id: str, team: str) -> JobState | None:
+        record = self._store.get(job_key(job_id))
+        if record is None:
+            return None
+        try:
+            if not _same_team(decode(record.value, Submission), team):
+                return None
+            stored = self._store.get(progress_key(job_id))
+            if stored is not None:
+                return decode(stored.value, Progress).state
+        except msgspec.DecodeError as exc:
+            raise StoreUnavailable(f"stored job {job_id} cannot be read: {exc}") from exc
+        cancelled = self._store.get(cancel_key(job_id))
+        return JobState.CANCELLED if cancelled is not None else JobState.QUEUED
+
+
+def _same_team(submission: Submission, team: str) -> bool:
+    """Whether a caller may see a job; public queues know no teams."""
+    return not team or not submission.team or submission.team == team
--- /dev/null
+++ b/src/lacewingmill/jobs/election.py
@@ -0,0 +1,221 @@
+"""Who directs the jobs: one VM, by a key of the store under a lease."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+import gevent
+
+from lacewingmill.codec import decode, encode
+from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.exceptions import (
+    HistoryLost,
+    LeaseEnded,
+    StoreUnavailable,
+    TransactionConflict,
+)
+from lacewingmill.jobs.keys import OWNER_KEY, TERM_KEY
+from lacewingmill.jobs.ports import ItemRevision, Put, Record, Transaction, TransactionStore
+from lacewingmill.ports import Clock
+
+__all__ = ["JobElector", "JobOwner", "Tenure"]
+
+# An owner that dies without a trace is replaced after this time; it must outlast several renewals.
+LEASE_S = 2.5
+RENEW_EVERY_S = 0.6
+RENEW_RETRY_S = 0.1
+# A silent connection to the store is noticed after one slice of a watch.
+WATCH_SLICE_S = 6.0
+RETRY_S = 0.25
+# Spreads the VMs that try to become owner, so that most see the winner before they try.
+SPREAD_S = 0.12
+# Certainty margin between this VM's clock and the store's.
+MARGIN_S = 0.15
+
+
+@attrs.frozen
+class JobOwner:
+    """The VM that directs the jobs.
+
+    :param address: ``host:port`` for the other VMs.
+    :param incarnation: unique for each start of a process.
+    :param term: counts the owners.
+    """
+
+    vm: str
+    address: str
+    incarnation: str
+    term: int
+    lease: int
+
+
+@attrs.define
+class Tenure:
+    """This VM's ownership.
+
+    :param fence: revision of the owner's key; workers refuse orders under a lower one.
+    :param valid_until: until then certainly no other VM owns the jobs, in seconds.
+    """
+
+    owner: JobOwner
+    fence: int
+    valid_until: float
+    clock: Clock
+    ended: bool = False
+
+    @property
+    def valid(self) -> bool:
+        """Whether orders may be sent."""
+        return not self.ended and self.clock.now() < self.valid_until
+
+
+class JobElector:
+    """Follows the owner's key and takes it when it is free.
+
+    :param me: this VM; its term and lease are filled in.
+    :param take: called when this VM becomes owner.
+    :param leave: called when it is owner no more.
+    :param changed: called with the owner as far as it is known.
+    """
+
+    def __init__(
+        self,
+        me: JobOwner,
+        store: TransactionStore,
+        clock: Clock,
+        log: EventLog,
+        take: Callable[[Tenure], None],
+        leave: Callable[[], None],
+        changed: Callable[[JobOwner | None], None],
+        rng: random.Random,
+    ):
+        self._me = me
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._take = take
+        self._leave = leave
+        self._changed = changed
+        self._rng = rng
+        self.eligible = False
+        self.tenure: Tenure | None = None
+        self.owner: JobOwner | None = None
+
+    def run(self) -> None:
+        """Follow and elect for ever."""
+        while True:
+            try:
+                self._follow()
+            except StoreUnavailable:
+                self._clock.sleep(RETRY_S)
+            except (HistoryLost, LeaseEnded):
+                continue
+            except TransactionConflict:
+                continue  # another VM was faster; its record is read next
+
+    def hand_over(self) -> None:
+        """Give the ownership up at once, at a planned stop."""
+        self.eligible = False
+        tenure = self.tenure
+        if tenure is None:
+            return
+        self._lose("handed_over")
+        self.end_lease(tenure.owner)
+
+    def end_lease(self, owner: JobOwner) -> None:
+        """End the lease of an owner that is gone, so that another is elected at once."""
+        try:
+            self._store.end(owner.lease)
+        except StoreUnavailable as exc:
+            self._log.emit(LogEvent.JOBS_LEASE_KEPT, owner=owner.vm, reason=exc.message)
+
+    def depose(self) -> None:
+        """Another VM has shown a higher fence."""
+        if self.tenure is not None:
+            self._lose("fenced")
+
+    def _follow(self) -> None:
+        record = self._store.get(OWNER_KEY)
+        if record is None:
+            self._set_owner(None)
+            self._elect()
+            return
+        owner = decode(record.value, JobOwner)
+        self._set_owner(owner)
+        if owner.vm == self._me.vm and self._is_stale(owner):
+            self.end_lease(owner)
+            return
+        revision = record.revision
+        while True:
+            changes = self._store.watch(OWNER_KEY, after=revision, wait_s=WATCH_SLICE_S)
+            revision = changes.revision
+            if any(change.key == OWNER_KEY for change in changes.changes):
+                return
+
+    def _is_stale(self, owner: JobOwner) -> bool:
+        """Whether this VM's record is from before its restart, or from an unanswered write."""
+        return owner.incarnation != self._me.incarnation or self.tenure is None
+
+    def _set_owner(self, owner: JobOwner | None) -> None:
+        if owner != self.owner:
+            self.owner = owner
+            self._changed(owner)
+
+    def _elect(self) -> None:
+        if self.tenure is not None:
+            self._lose("lease_ended")
+        if not self.eligible:
+            self._clock.sleep(RETRY_S)
+            return
+        self._clock.sleep(self._rng.uniform(0.0, SPREAD_S))
+        term_record = self._store.get(TERM_KEY)
+        if self._store.get(OWNER_KEY) is not None or not self.eligible:
+            return
+        granted_at = self._clock.now()
+        lease = self._store.grant(LEASE_S)
+        term = decode(term_record.value, int) + 1 if term_record is not None else 1
+        owner = attrs.evolve(self._me, term=term, lease=lease.lease)
+        fence = self._claim(owner, term_record)
+        valid_until = granted_at + lease.ttl_s - MARGIN_S
+        self.tenure = Tenure(owner, fence, valid_until, self._clock)
+        self._set_owner(owner)
+        self._log.emit(LogEvent.JOBS_TAKEN, fence=fence, term=term)
+        gevent.spawn(self._renew, self.tenure, lease.ttl_s)
+        self._take(self.tenure)
+
+    def _claim(self, owner: JobOwner, term_record: Record | None) -> int:
+        term_revision = term_record.revision if term_record is not None else 0
+        return self._store.commit(
+            Transaction(
+                (ItemRevision(OWNER_KEY, 0), ItemRevision(TERM_KEY, term_revision)),
+                (
+                    Put(OWNER_KEY, encode(owner), owner.lease),
+                    Put(TERM_KEY, encode(owner.term)),
+                ),
+            )
+        )
+
+    def _renew(self, tenure: Tenure, ttl_s: float) -> None:
+        pause = RENEW_EVERY_S
+        while not tenure.ended:
+            self._clock.sleep(pause)
+            if tenure.ended:
+                return
+            sent_at = self._clock.now()
+            try:
+                self._store.renew(tenure.owner.lease)
+            except StoreUnavailable:
+                pause = RENEW_RETRY_S
+                continue
+            except LeaseEnded:
+                if self.tenure is tenure:
+                    self._lose("lease_ended")
+                return
+            tenure.valid_until = sent_at + ttl_s - MARGIN_S
+            pause = RENEW_EVERY_S
+
+    def _lose(self, reason: str) -> None:
+        tenure, self.tenure = self.tenure, None
+        tenure.ended = True
+        self._log.emit(LogEvent.JOBS_LOST, fence=tenure.fence, reason=reason)
+        self._leave()
--- /dev/null
+++ b/src/lacewingmill/jobs/peers.py
@@ -0,0 +1,132 @@
+"""Calls of VMs to the one that directs the jobs."""
+
+import attrs
+import msgspec
+
+from lacewingmill.adapters.http_client import HttpCaller
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest
+from lacewingmill.codec import decode, encode
+from lacewingmill.exceptions import NotOwner, TransportError
+from lacewingmill.jobs.model import JobState, Submission
+
+__all__ = [
+    "Accepted",
+    "Ask",
+    "CancelAsk",
+    "OwnerCalls",
+    "StateAsk",
+    "SubmitAsk",
+    "Told",
+    "WaitingAsk",
+    "decode_ask",
+]
+
+# The owner answers from memory; a peer that takes longer is slow, cut off or gone.
+CALL_TIMEOUT_S = 0.5
+# The owner waits for the store before it answers.
+STORED_TIMEOUT_S = 1.5
+NOT_OWNER = 409
+
+
+@attrs.frozen
+class StateAsk:
+    """Asks for the state of a job of a team."""
+
+    job_id: str
+    team: str
+
+
+@attrs.frozen
+class CancelAsk:
+    """Gives a job of a team up."""
+
+    job_id: str
+    team: str
+
+
+@attrs.frozen
+class Accepted:
+    """Tells of a job that was stored."""
+
+    submission: Submission
+    revision: int
+
+
+@attrs.frozen
+class SubmitAsk:
+    """Asks to store a job, for a VM that the store turns away."""
+
+    submission: Submission
+
+
+@attrs.frozen
+class WaitingAsk:
+    """Asks how many jobs of a queue wait."""
+
+    queue: str
+
+
+@attrs.frozen
+class Told:
+    """The owner's answer.
+
+    :param known: whether the owner knows the job.
+    :param refused: why it was not stored; empty when it was.
+    """
+
+    known: bool = True
+    state: JobState | None = None
+    waiting: int = 0
+    refused: str = ""
+
+
+Ask = StateAsk | CancelAsk | Accepted | SubmitAsk | WaitingAsk
+KINDS: dict[str, type] = {
+    "/jobs/state": StateAsk,
+    "/jobs/cancel": CancelAsk,
+    "/jobs/accepted": Accepted,
+    "/jobs/submit": SubmitAsk,
+    "/jobs/waiting": WaitingAsk,
+}
+PATHS = {kind: path for path, kind in KINDS.items()}
+
+
+class OwnerCalls:
+    """Client of the owner."""
+
+    def __init__(self, caller: HttpCaller):
+        self._caller = caller
+
+    def ask(self, address: str, ask: Ask) -> Told:
+        """Send one call and return the answer.
+
+        :raises NotOwner: when the VM at the address does not direct the jobs.
+        :raises TransportError: when no answer came.
+        """
+        stores = isinstance(ask, CancelAsk | SubmitAsk)
+        reply = self._caller.call(
+            address,
+            "POST",
+            PATHS[type(ask)],
+            body=encode(ask),
+            timeout_s=STORED_TIMEOUT_S if stores else CALL_TIMEOUT_S,
+        )
+        if reply.status == NOT_OWNER:
+            raise NotOwner("the VM does not direct the jobs", step="ask", peer=address)
+        if reply.status != 200:
+            raise TransportError(f"answered {reply.status}", step="ask", peer=address)
+        try:
+            return decode(reply.body, Told)
+        except msgspec.DecodeError as exc:
+            raise TransportError(f"answer: {exc}", step="ask", peer=address) from exc
+
+
+def decode_ask(req: HttpRequest) -> Ask | HttpAnswer:
+    """Decode a call of another VM, or return the error to answer with."""
+    kind = KINDS.get(req.path)
+    if kind is None:
+        return HttpAnswer(404, b"unknown call", "text/plain")
+    try:
+        return decode(req.body, kind)
+    except msgspec.DecodeError as exc:
+        return HttpAnswer(400, str(exc).encode(), "text/plain")
--- /dev/null
+++ b/src/lacewingmill/jobs/planning.py
@@ -0,0 +1,127 @@
+"""What the scheduler is told of units, workers and teams."""
+
+from lacewingmill.jobs.graph import JobGraph
+from lacewingmill.jobs.model import QueueTable, Step, Unit
+from lacewingmill.jobs.ports import WorkerEntry
+from lacewingmill.jobs.settings import PlatformLimits
+from lacewingmill.models import Adjacency, Shape
+from lacewingmill.ports import Clock
+from lacewingmill.scheduling.cluster import Cluster
+from lacewingmill.scheduling.messages import (
+    GuaranteesChanged,
+    Job,
+    Needs,
+    Objective,
+    TeamQuota,
+    WorkerNode,
+)
+from lacewingmill.scheduling.order import OrderRules
+from lacewingmill.scheduling.scheduler import Scheduler
+from lacewingmill.scheduling.suspects import FailureRules
+
+__all__ = ["new_scheduler", "team_quotas", "unit_job", "worker_node_of"]
+
+# An answer is worth nothing after three times the time allowed (the platform's terms).
+WORTHLESS_AFTER = 3.0
+# Jobs take seconds here, so wide gangs get their reservation after seconds.
+JOB_RULES = OrderRules(reserve_after=0.5, reserve_least_s=2.0, heal=False)
+# Attempts are counted by the job's graph; a worker that fails several jobs in a row rests shortly.
+JOB_FAILURE_RULES = FailureRules(
+    bad_job_workers=1_000_000,
+    bad_worker_jobs=3,
+    window_s=15.0,
+    quarantine_s=4.0,
+    longest_s=30.0,
+    rack_share=0.67,
+)
+
+
+def new_scheduler() -> Scheduler:
+    """Return the decision core for the workers of one service."""
+    return Scheduler(JOB_RULES, JOB_FAILURE_RULES)
+
+
+def worker_node_of(entry: WorkerEntry) -> WorkerNode:
+    """Return a worker as the scheduler sees it."""
+    return WorkerNode(
+        entry.worker,
+        entry.rack,
+        entry.failure_domain,
+        entry.accelerators,
+        entry.processors,
+        entry.memory_gb,
+        entry.labels,
+    )
+
+
+def team_quotas(table: QueueTable, service: str, scheduler: Scheduler) -> GuaranteesChanged:
+    """Return the configuration of a service as the scheduler takes it.
+
+    The sizes of future gangs are not known; powers of two up to a whole worker stand for them.
+    """
+    widest = max((node.info.accelerators for node in scheduler.cluster.nodes.values()), default=8)
+    sizes = [1]
+    while sizes[-1] * 2 <= widest:
+        sizes.append(sizes[-1] * 2)
+    mix = tuple(Shape(f"{size}", size) for size in sizes)
+    quotas = tuple(TeamQuota(service, team.name, team.quota) for team in table.teams)
+    return GuaranteesChanged((), (), mix, quotas)
+
+
+def unit_job(
+    graph: JobGraph, unit: Unit, clock: Clock, limits: PlatformLimits, cluster: Cluster
+) -> Job:
+    """Return a unit as the scheduler sees it."""
+    submission = graph.submission
+    step = submission.steps[unit.step]
+    now = clock.now()
+    begun_at = submission.timing.due_at(unit.occurrence) or submission.accepted_at
+    submitted_at = now + min(0.0, begun_at - clock.wall())
+    allowed_s = submission.allowed_s()
+    return Job(
+        unit.unit_id,
+        submission.service,
+        submission.team,
+        _shape(submission.queue, step, len(unit.indexes), cluster),
+        claims=False,
+        idempotent=True,
+        checkpoint=step.checkpoint,
+        submitted_at=submitted_at,
+        urgent=submission.priority == 0,
+        needs=Needs(
+            step.label,
+            step.data_rack,
+            f"{unit.job_id}/{unit.occurrence}/{unit.step}",
+            step.max_per_worker,
+        ),
+        objective=Objective(
+            submission.priority,
+            submitted_at + allowed_s,
+            submitted_at + WORTHLESS_AFTER * allowed_s,
+        ),
+    )
+
+
+def _shape(queue: str, step: Step, members: int, cluster: Cluster) -> Shape:
+    adjacency = Adjacency.CLUSTER if members > 1 else Adjacency.WORKER
+    shape = Shape(
+        queue,
+        step.accelerators * members,
+        adjacency,
+        0.0 if step.fills else step.processors,
+        step.memory_gb,
+        max(step.expected_s, 0.001),
+        members,
+    )
+    if members == 1 or not step.same_rack:
+        return shape
+    near = Shape(
+        shape.name,
+        shape.accelerators,
+        Adjacency.RACK,
+        shape.processors,
+        shape.memory_gb,
+        shape.expected_s,
+        members,
+    )
+    return near if cluster.fits_empty(near) else shape
--- /dev/null
+++ b/src/lacewingmill/jobs/table_follower.py
@@ -0,0 +1,85 @@
+"""Follows the configuration of queues and teams in the store."""
+
+from collections.abc import Callable
+
+from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.exceptions import DocumentInvalid, HistoryLost, StoreUnavailable
+from lacewingmill.jobs.model import QueueTable
+from lacewingmill.jobs.ports import Record, TransactionStore
+from lacewingmill.ports import Clock
+
+__all__ = ["TableFollower"]
+
+# A change is in force everywhere within the platform's 2 s, also when a connection went silent.
+WATCH_SLICE_S = 1.4
+RETRY_S = 0.2
+
+
+class TableFollower:
+    """Keeps the newest configuration; a lower version never replaces a higher one.
+
+    :param key: the key that holds it.
+    :param decode: decodes its value.
+    """
+
+    def __init__(
+        self,
+        store: TransactionStore,
+        clock: Clock,
+        log: EventLog,
+        key: str,
+        decode: Callable[[bytes], QueueTable],
+    ):
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._key = key
+        self._decode = decode
+        self._away = False
+        self.table: QueueTable | None = None
+        self.heard_at = clock.now()
+
+    def run(self) -> None:
+        """Follow changes for ever."""
+        revision = 0
+        while True:
+            try:
+                revision = self._follow(revision)
+            except HistoryLost:
+                revision = 0
+            except StoreUnavailable as exc:
+                if not self._away:
+                    self._log.emit(LogEvent.STORE_UNAVAILABLE, reason=exc.message)
+                self._away = True
+                revision = 0  # an answer may have been lost with changes in it
+                self._clock.sleep(RETRY_S)
+                continue
+            if self._away:
+                self._log.emit(LogEvent.STORE_AVAILABLE)
+            self._away = False
+            self.heard_at = self._clock.now()
+
+    def _follow(self, revision: int) -> int:
+        if revision == 0:
+            record = self._store.get(self._key)
+            if record is None:
+                self._clock.sleep(RETRY_S)
+                return 0
+            self._take(record)
+            return record.revision
+        changes = self._store.watch(self._key, after=revision, wait_s=WATCH_SLICE_S)
+        for change in changes.changes:
+            if change.key == self._key and change.record is not None:
+                self._take(change.record)
+        return changes.revision
+
+    def _take(self, record: Record) -> None:
+        try:
+            table = self._decode(record.value)
+        except DocumentInvalid as exc:
+            self._log.emit(LogEvent.CATALOGUE_UNREADABLE, key=record.key, reason=exc.message)
+            return
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        self._log.emit(LogEvent.CATALOGUE_IN_FORCE, version=table.version)
--- /dev/null
+++ b/src/lacewingmill/jobs/vm.py
@@ -0,0 +1,160 @@
+"""One VM that accepts jobs of steps, and directs all of them while it is the owner."""
+
+import gevent
+from gevent.event import Event
+
+from lacewingmill.adapters.http_server import HttpService
+from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.exceptions import StoreUnavailable
+from lacewingmill.jobs.director import Director, DirectorParts
+from lacewingmill.jobs.election import JobElector, Tenure
+from lacewingmill.jobs.inbox import Inbox
+from lacewingmill.jobs.roster import Roster
+from lacewingmill.jobs.settings import JobVmSettings
+from lacewingmill.jobs.table_follower import TableFollower
+from lacewingmill.jobs.worker_link import SLOW_CLOCK
+from lacewingmill.ports import Clock
+
+__all__ = ["JobVm"]
+
+RETRY_S = 0.2
+# Without news from the store for so long, callers had better go to another VM.
+STALE_AFTER_S = 8.0
+FOLLOW_READY_S = 0.1
+# The balancer notices within two of its looks, one a second.
+DRAIN_S = 2.5
+QUIET_S = 0.4
+STOP_POLL_S = 0.05
+# Left of the grace time for the process to end.
+EXIT_MARGIN_S = 0.9
+
+
+class JobVm:
+    """Runs one VM until it is stopped."""
+
+    def __init__(
+        self,
+        settings: JobVmSettings,
+        parts: DirectorParts,
+        clock: Clock,
+        log: EventLog,
+        follower: TableFollower,
+        roster_of,
+    ):
+        self._settings = settings
+        self._parts = parts
+        self._clock = clock
+        self._log = log
+        self._follower = follower
+        self._roster_of = roster_of
+        self._stopping = False
+        self._stopped = Event()
+        self._was_ready: bool | None = None
+        self._loops: list[gevent.Greenlet] = []
+        self.director: Director | None = None
+
+    def attach(
+        self,
+        elector: JobElector,
+        front: HttpService,
+        ready: HttpService,
+        peers: HttpService,
+        metrics: HttpService,
+    ) -> None:
+        """Take the parts that call back into this object."""
+        self._elector = elector
+        self._front = front
+        self._services = (peers, metrics, ready, front)
+
+    def start(self) -> None:
+        """Listen and start the loops."""
+        for service in self._services:
+            service.start()
+        for loop in (self._follower.run, self._elector.run, self._follow_readiness):
+            gevent.spawn(loop)
+        self._log.emit(LogEvent.VM_STARTED, listen=self._settings.front)
+
+    def wait(self) -> None:
+        """Wait until a planned stop is complete."""
+        self._stopped.wait()
+
+    def begin_stop(self) -> None:
+        """Begin a planned stop; used by signal handlers, so it returns at once."""
+        if not self._stopping:
+            self._stopping = True
+            gevent.spawn(self._stop)
+
+    def why_not_ready(self) -> str:
+        """Return why callers should go elsewhere, or an empty string."""
+        if self._stopping:
+            return "stopping"
+        if self._follower.table is None:
+            return "no configuration yet"
+        if self._clock.now() - self._follower.heard_at > STALE_AFTER_S:
+            return "cut off from the store"
+        return ""
+
+    def take(self, tenure: Tenure) -> None:
+        """Begin to direct the jobs."""
+        director = Director(self._parts, tenure, self._elector.depose)
+        self.director = director
+        self._loops.append(gevent.spawn(self._direct, director))
+
+    def leave(self) -> None:
+        """Direct the jobs no more."""
+        director, self.director = self.director, None
+        if director is not None:
+            director.stop()
+        gevent.killall(self._loops, block=False)
+        self._loops.clear()
+
+    def _direct(self, director: Director) -> None:
+        inbox = Inbox(
+            self._parts.store, self._clock, self._log, director, self._settings.limits.kept_s
+        )
+        roster: Roster = self._roster_of(director.set_workers)
+        for load in (inbox.load, roster.load):
+            self._load(load)
+        self._loops.append(gevent.spawn(roster.follow))
+        self._loops.append(gevent.spawn(inbox.follow))
+        hold_back_s = self._settings.limits.longest_hold_s * SLOW_CLOCK
+        director.take_over(hold_back_s if director.tenure.owner.term > 1 else 0.0)
+        director.run()
+
+    def _load(self, load) -> None:
+        while True:
+            try:
+                load()
+                return
+            except StoreUnavailable:
+                self._clock.sleep(RETRY_S)
+
+    def _follow_readiness(self) -> None:
+        while True:
+            reason = self.why_not_ready()
+            if self._was_ready is not (not reason):
+                self._was_ready = not reason
+                event = LogEvent.NOT_READY if reason else LogEvent.READY
+                self._log.emit(event, reason=reason)
+            self._elector.eligible = not self._stopping and self._follower.table is not None
+            self._clock.sleep(FOLLOW_READY_S)
+
+    def _stop(self) -> None:
+        """Turn not ready, serve on until the balancer has noticed, finish what is in flight."""
+        self._log.emit(LogEvent.VM_STOPPING)
+        began = self._clock.now()
+        self._front.drain()
+        self._elector.hand_over()
+        quiet_since = self._clock.now()
+        end = began + self._settings.limits.grace_s - EXIT_MARGIN_S
+        while self._clock.now() < end:
+            if self._front.in_flight:
+                quiet_since = self._clock.now()
+            quiet = self._clock.now() - quiet_since >= QUIET_S
+            if quiet and self._clock.now() - began >= DRAIN_S:
+                break
+            self._clock.sleep(STOP_POLL_S)
+        for service in self._services:
+            service.close()
+        self._log.emit(LogEvent.VM_STOPPED)
+        self._stopped.set()
--- /dev/null
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -0,0 +1,384 @@
+"""The owner's link to one worker: orders, lease extension, and what the worker lists."""
+
+import enum
+from collections import deque
+from typing import Protocol
+
+import attrs
+import gevent
+from gevent.event import Event
+from gevent.lock import BoundedSemaphore
+
+from lacewingmill.exceptions import FenceRejected, TransportError, WorkerReplaced
+from lacewingmill.jobs.election import Tenure
+from lacewingmill.jobs.model import TaskId
+from lacewingmill.jobs.ports import (
+    HoldOrder,
+    HoldReport,
+    StartOrder,
+    StartOutcome,
+    WorkerEntry,
+    WorkerOrders,
+)
+from lacewingmill.jobs.settings import PlatformLimits
+from lacewingmill.jobs.units import Member, MemberState
+from lacewingmill.ports import Clock
+
+__all__ = ["LinkListener", "StartResult", "WorkerLink"]
+
+# A little under the platform's longest lease, so that no lease is cut.
+HOLD_SHARE = 0.95
+# The longest time that a worker lets an answer wait.
+LONGEST_WAIT_S = 2.0
+HOLD_MARGIN_S = 0.7
+# Orders cross a zone in about 3 ms; slow VMs and workers take tens of that.
+ORDER_TIMEOUT_S = 1.0
+ORDERS_AT_ONCE = 3
+RETRY_S = 0.25
+UNACKED_PAUSE_S = 0.5
+# An idle worker's ends are acknowledged by the next start, or after this time.
+ACK_DELAY_S = 1.0
+# A worker's clock may be 2 % slow.
+SLOW_CLOCK = 1.03
+EXPIRY_MARGIN_S = 0.2
+FAILURES_UNTIL_SILENT = 2
+UNHEALTHY_PAUSE_S = 1.0
+
+
+class StartResult(enum.Enum):
+    """What became of a start."""
+
+    STARTED = "started"
+    SUPERSEDED = "superseded"
+    NO_ROOM = "no_room"
+    UNHEALTHY = "unhealthy"
+    INVALID = "invalid"
+    UNKNOWN = "unknown"
+
+
+OUTCOMES = {
+    StartOutcome.STARTED: StartResult.STARTED,
+    StartOutcome.SUPERSEDED: StartResult.SUPERSEDED,
+    StartOutcome.LATE: StartResult.UNHEALTHY,
+    StartOutcome.NO_ROOM: StartResult.NO_ROOM,
+    StartOutcome.UNHEALTHY: StartResult.UNHEALTHY,
+    StartOutcome.INVALID: StartResult.INVALID,
+}
+
+
+@attrs.frozen
+class _Unstored:
+    """Ends up to a number, and what must be written before the worker may forget them."""
+
+    number: int
+    written: list[Event]
+
+
+class LinkListener(Protocol):
+    """What a link tells its owner."""
+
+    def link_opened(self, link: "WorkerLink", report: HoldReport) -> None:
+        """The worker has answered for the first time, or after it had been given up."""
+
+    def link_reported(self, link: "WorkerLink", report: HoldReport) -> list[Event]:
+        """The worker has told its lists; returns what must be stored before ends are forgotten."""
+
+    def member_gone(self, link: "WorkerLink", member: Member) -> None:
+        """A member certainly runs no more, though no end of it was listed."""
+
+    def link_silent(self, link: "WorkerLink") -> None:
+        """The worker does not answer, or says that it is not well."""
+
+    def link_answers(self, link: "WorkerLink") -> None:
+        """The worker answers again."""
+
+    def link_lost(self, link: "WorkerLink") -> None:
+        """All leases on the worker have certainly lapsed."""
+
+    def fenced(self) -> None:
+        """The worker obeys a higher fence."""
+
+
+class WorkerLink:
+    """Talks to one worker under one tenure.
+
+    :param entry: the worker as it describes itself; replaced when the description changes.
+    """
+
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        orders: WorkerOrders,
+        tenure: Tenure,
+        clock: Clock,
+        limits: PlatformLimits,
+        listener: LinkListener,
+    ):
+        self.entry = entry
+        self.members: dict[TaskId, Member] = {}
+        self.opened = False
+        self.silent = False
+        self.listed = True
+        self._orders = orders
+        self._tenure = tenure
+        self._clock = clock
+        self._limits = limits
+        self._listener = listener
+        self._slots = BoundedSemaphore(ORDERS_AT_ONCE)
+        self._wake = Event()
+        self._stopped = False
+        self._incarnation = entry.incarnation
+        self._offset = 0.0
+        self._expires_at = 0.0
+        self._processed = 0
+        self._acked = 0
+        self._acked_sent = 0
+        self._pending: deque[_Unstored] = deque()
+        self._failures = 0
+        self._unhealthy_until = 0.0
+        self._look = False
+        self._loop = gevent.spawn(self._run)
+
+    @property
+    def worker(self) -> str:
+        """Id of the worker."""
+        return self.entry.worker
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs there as far as is known."""
+        return not self.members
+
+    def stop(self) -> None:
+        """Talk to the worker no more."""
+        self._stopped = True
+        self._loop.kill(block=False)
+
+    def expect(self, member: Member) -> None:
+        """Count a member as possibly running on the worker from now on."""
+        self.members[member.task] = member
+
+    def drop(self, member: Member) -> None:
+        """Count a member no more."""
+        if self.members.get(member.task) is member:
+            del self.members[member.task]
+
+    def look(self) -> None:
+        """Ask for the lists soon."""
+        self._look = True
+        self._wake.set()
+
+    def start(self, member: Member, spec: str, saved: str) -> StartResult:
+        """Send a start and return what became of it."""
+        with self._slots:
+            if member.state is not MemberState.PLANNED:
+                return StartResult.UNKNOWN
+            for _ in range(2):
+                if not self._tenure.valid:
+                    return StartResult.UNHEALTHY
+                until = self._until()
+                order = StartOrder(member.task, member.run, spec, until, self._tenure.fence, saved)
+                member.state = MemberState.ORDERED
+                self._expires_at = max(self._expires_at, self._lapse_at(until))
+                try:
+                    answer = self._orders.start(self.entry, order, timeout_s=ORDER_TIMEOUT_S)
+                except FenceRejected:
+                    self._listener.fenced()
+                    return StartResult.UNKNOWN
+                except WorkerReplaced:
+                    self._replaced()
+                    return StartResult.UNHEALTHY
+                except TransportError:
+                    self._fail()
+                    return StartResult.UNKNOWN
+                if answer.clock_s:
+                    self._offset = answer.clock_s - self._clock.now()
+                if answer.outcome is not StartOutcome.LATE:
+                    break
+            return self._take_answer(member, OUTCOMES[answer.outcome])
+
+    def _take_answer(self, member: Member, result: StartResult) -> StartResult:
+        if result is StartResult.STARTED:
+            member.state = MemberState.RUNNING
+            member.confirmed_at = self._clock.now()
+            self._wake.set()
+            return result
+        if result in (StartResult.UNHEALTHY, StartResult.NO_ROOM):
+            self._unhealthy_until = self._clock.now() + UNHEALTHY_PAUSE_S
+            self._mark_silent()
+        return result
+
+    def stop_run(self, member: Member) -> None:
+        """Send a stop until it is answered or the member is gone."""
+        while not member.gone and not self._stopped:
+            if self._tenure.valid and self._send_stop(member):
+                member.stopped_at = self._clock.now()
+                self.look()
+                return
+            self._clock.sleep(RETRY_S)
+
+    def stop_stray(self, task: TaskId, run: int) -> None:
+        """Stop a run that nobody wants."""
+        self._send_stop(Member(task, run, self.worker, MemberState.RUNNING))
+        self.look()
+
+    def give_up(self) -> None:
+        """The worker is known to be gone: nothing runs there any more."""
+        self._lose()
+
+    def _send_stop(self, member: Member) -> bool:
+        with self._slots:
+            try:
+                self._orders.stop(
+                    self.entry,
+                    member.task,
+                    member.run,
+                    self._tenure.fence,
+                    timeout_s=ORDER_TIMEOUT_S,
+                )
+            except FenceRejected:
+                self._listener.fenced()
+                return False
+            except WorkerReplaced:
+                self._replaced()
+                return False
+            except TransportError:
+                self._fail()
+                return False
+        return True
+
+    def _run(self) -> None:
+        while not self._stopped:
+            if not self._tenure.valid:
+                self._check_expiry()
+                self._clock.sleep(RETRY_S)
+                continue
+            if self.opened and not self.silent and self.idle and not self._look:
+                unsent = self._acked != self._acked_sent or self._pending
+                self._wake.wait(ACK_DELAY_S if unsent else None)
+            self._wake.clear()
+            self._look_once()
+
+    def _look_once(self) -> None:
+        quick = self._look or self.idle or not self.opened or self.silent or bool(self._pending)
+        self._look = False
+        wait_s = 0.0 if quick else min(LONGEST_WAIT_S, self._limits.longest_hold_s / 3)
+        until = self._until() if self.opened else 0.0
+        self._expires_at = max(self._expires_at, self._lapse_at(until) if until else 0.0)
+        sent_at = self._clock.now()
+        acked = self._acked if self._failures == 0 else 0
+        order = HoldOrder(self._tenure.fence, acked, until, wait_s)
+        try:
+            report = self._orders.hold(self.entry, order, timeout_s=wait_s + HOLD_MARGIN_S)
+        except FenceRejected:
+            self._listener.fenced()
+            self._stopped = True
+            return
+        except WorkerReplaced:
+            self._replaced()
+            self._clock.sleep(RETRY_S)
+            return
+        except TransportError:
+            self._fail()
+            self._check_expiry()
+            self._clock.sleep(RETRY_S)
+            return
+        if not self._stopped:
+            self._acked_sent = acked
+            self._take(report, sent_at)
+
+    def _take(self, report: HoldReport, sent_at: float) -> None:
+        self._failures = 0
+        self._offset = report.clock_s - self._clock.now()
+        if report.incarnation != self._incarnation:
+            self._restart(report.incarnation)
+        fresh = tuple(ended for ended in report.ended if ended.number > self._processed)
+        report = HoldReport(report.clock_s, report.incarnation, report.running, fresh)
+        if not self.opened:
+            self.opened = True
+            self.silent = False
+            self._listener.link_opened(self, report)
+        pending = self._listener.link_reported(self, report)
+        self._find_missing(report, sent_at)
+        if fresh:
+            self._processed = fresh[-1].number
+        if self.silent and self._clock.now() >= self._unhealthy_until:
+            self.silent = False
+            self._listener.link_answers(self)
+        elif self.silent:
+            self._clock.sleep(RETRY_S)
+        if fresh:
+            self._pending.append(_Unstored(fresh[-1].number, pending))
+        self._acknowledge()
+
+    def _acknowledge(self) -> None:
+        """Let the worker forget its ends once what they changed is in the store."""
+        while self._pending:
+            oldest = self._pending[0]
+            if not all(event.wait(UNACKED_PAUSE_S) for event in oldest.written):
+                return
+            self._acked = max(self._acked, oldest.number)
+            self._pending.popleft()
+
+    def _find_missing(self, report: HoldReport, sent_at: float) -> None:
+        """Find members that the worker should list and does not."""
+        listed = {(listed.task, listed.run) for listed in report.running}
+        for member in list(self.members.values()):
+            if (member.task, member.run) in listed:
+                if member.state is MemberState.ORDERED:
+                    member.state = MemberState.RUNNING
+                    member.confirmed_at = sent_at
+                continue
+            stopped = 0 < member.stopped_at <= sent_at
+            vanished = member.state is MemberState.RUNNING and member.confirmed_at <= sent_at
+            if stopped or vanished:
+                self.drop(member)
+                self._listener.member_gone(self, member)
+
+    def _restart(self, incarnation: int) -> None:
+        """The worker's process has started anew and knows nothing of before."""
+        self._incarnation = incarnation
+        self._processed = self._acked = self._acked_sent = 0
+        self._pending.clear()
+        self._drop_all()
+
+    def _replaced(self) -> None:
+        self._drop_all()
+        self._mark_silent()
+
+    def _drop_all(self) -> None:
+        for member in list(self.members.values()):
+            if member.state is MemberState.PLANNED:
+                continue
+            self.drop(member)
+            self._listener.member_gone(self, member)
+
+    def _fail(self) -> None:
+        self._failures += 1
+        if self._failures >= FAILURES_UNTIL_SILENT:
+            self._mark_silent()
+
+    def _mark_silent(self) -> None:
+        self._wake.set()
+        if not self.silent and self.opened:
+            self.silent = True
+            self._listener.link_silent(self)
+
+    def _check_expiry(self) -> None:
+        if self.members and self._clock.now() > self._expires_at:
+            self._lose()
+
+    def _lose(self) -> None:
+        self._drop_all()
+        if self.opened:
+            self.opened = False
+            self._listener.link_lost(self)
+
+    def _until(self) -> float:
+        """Return the end of a lease that begins now, on the worker's clock."""
+        return self._clock.now() + self._offset + self._limits.longest_hold_s * HOLD_SHARE
+
+    def _lapse_at(self, until: float) -> float:
+        """Return when a lease has certainly lapsed, on this VM's clock."""
+        left = until - (self._clock.now() + self._offset)
+        return self._clock.now() + left * SLOW_CLOCK + EXPIRY_MARGIN_S
--- a/src/lacewingmill/models.py
+++ b/src/lacewingmill/models.py
@@ -33,6 +33,7 @@
     WORKER = "worker"
     RACK = "rack"
     FAILURE_DOMAIN = "failure_domain"
+    CLUSTER = "cluster"
 
 
 class RouteKind(enum.Enum):
@@ -70,11 +71,12 @@
     """What one gang needs.
 
     :param name: name within the service.
-    :param accelerators: size of the gang.
+    :param accelerators: accelerators of the whole gang.
     :param adjacency: the block that must hold the whole gang.
-    :param processors: processor cores per accelerator.
-    :param memory_gb: memory per accelerator, in gigabytes.
+    :param processors: processor cores per member.
+    :param memory_gb: memory per member, in gigabytes.
     :param expected_s: declared run time, in seconds; only a prior for learning.
+    :param members: parts that each stay on one worker; 0 for one member per accelerator.
     """
 
     name: str
@@ -83,6 +85,17 @@
     processors: float = 1.0
     memory_gb: float = 1.0
     expected_s: float = 60.0
+    members: int = 0
+
+    @property
+    def units(self) -> int:
+        """Number of members of the gang."""
+        return self.members or self.accelerators
+
+    @property
+    def unit_accelerators(self) -> int:
+        """Accelerators of one member."""
+        return self.accelerators // self.members if self.members else 1
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/lacewingmill/platform/settings.py
@@ -0,0 +1,89 @@
+"""The settings file that the platform writes: lines of the form ``a.b=value``."""
+
+from pathlib import Path
+
+from lacewingmill.exceptions import SettingsError
+from lacewingmill.jobs.settings import JobVmSettings, PlatformLimits
+
+__all__ = ["load_platform_settings"]
+
+MS_PER_S = 1000.0
+
+
+def load_platform_settings(path: Path) -> JobVmSettings:
+    """Read and check the platform's settings file.
+
+    :raises SettingsError: when the file cannot be read or a field is missing or malformed; the
+        message names the field.
+    """
+    try:
+        text = path.read_text()
+    except OSError as exc:
+        raise SettingsError(f"cannot read {path}: {exc.strerror}", step="settings") from exc
+    fields = _Fields(_parse(text, path))
+    host = fields.text("ip")
+    # port_range: the ports between VMs; the first one carries calls between lacewingmill VMs.
+    peer_port = fields.text("port_range").split(",")[0]
+    return JobVmSettings(
+        vm=fields.text("node"),
+        failure_domain=fields.text("zone"),
+        front=fields.text("listen.front"),
+        ready=fields.text("listen.ready"),
+        peers=f"{host}:{peer_port}",
+        metrics=f"{host}:{int(peer_port) + 1}",
+        store=fields.text("platform.addr"),
+        limits=PlatformLimits(
+            # drain_ms: how long a leaving worker goes on after it said so.
+            drain_s=fields.seconds("bounds.drain_ms"),
+            # grace_s: from SIGTERM to SIGKILL.
+            grace_s=fields.number("bounds.grace_s"),
+            stop_s=fields.seconds("bounds.stop_timeout_ms"),
+            # gang_timeout_ms: how long a member waits for the rest of its gang.
+            gang_wait_s=fields.seconds("bounds.gang_timeout_ms"),
+            longest_hold_s=fields.seconds("bounds.max_hold_ms"),
+            kept_s=fields.number("bounds.status_s"),
+            remote_factor=fields.number("bounds.remote_penalty"),
+            early_s=fields.seconds("bounds.early_ms"),
+            least_lease_s=fields.seconds("platform.min_ttl_ms"),
+        ),
+    )
+
+
+def _parse(text: str, path: Path) -> dict[str, str]:
+    fields = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        name, separator, value = line.partition("=")
+        if not separator:
+            raise SettingsError(f"{path}: line {number} has no '='", step="settings")
+        fields[name.strip()] = value.strip()
+    return fields
+
+
+class _Fields:
+    """Typed access to the fields of the file."""
+
+    def __init__(self, fields: dict[str, str]):
+        self._fields = fields
+
+    def text(self, name: str) -> str:
+        """Return a field that must not be empty."""
+        value = self._fields.get(name, "")
+        if not value:
+            raise SettingsError(f"field {name} is missing", step="settings")
+        return value
+
+    def number(self, name: str) -> float:
+        """Return a field as a number."""
+        value = self.text(name)
+        try:
+            return float(value)
+        except ValueError as exc:
+            raise SettingsError(
+                f"field {name} must be a number, not {value!r}", step="settings"
+            ) from exc
+
+    def seconds(self, name: str) -> float:
+        """Return a field in milliseconds as seconds."""
+        return self.number(name) / MS_PER_S
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -2,8 +2,8 @@
 
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, Node
-from lacewingmill.scheduling.messages import Job
-from lacewingmill.scheduling.order import priority
+from lacewingmill.scheduling.messages import Job, Needs
+from lacewingmill.scheduling.order import objective_key, priority
 from lacewingmill.scheduling.placement import PlacementRules, find_block
 from lacewingmill.scheduling.records import JobRecord
 from lacewingmill.scheduling.reservation import plan_reservation
@@ -24,10 +24,10 @@
             return
         ranked = sorted(self._state.queue.values(), key=lambda record: self._priority(record, now))
         self._refresh_reservation(ranked, now)
-        failed: set[tuple[Shape, bool, bool]] = set()
+        failed: set[tuple[Shape, bool, bool, Needs]] = set()
         for record in ranked:
             cautious = self._state.cautious(record.job, now)
-            kind = (record.job.shape, record.job.evictable, cautious)
+            kind = (record.job.shape, record.job.evictable, cautious, record.job.needs)
             if kind in failed and not self._is_reserved_for(record):
                 continue
             if self._state.over_limit(record.job):
@@ -41,12 +41,14 @@
             del self._state.queue[record.job.job_id]
             self._state.start(record, block, now)
 
-    def _priority(self, record: JobRecord, now: float) -> tuple[float, float, str]:
+    def _priority(self, record: JobRecord, now: float) -> tuple[float, ...]:
         job = record.job
         expected = max(self._state.expected_s(job) - record.done_s, 0.0)
+        if job.objective is not None:
+            return objective_key(job.objective, expected, now)
         waited = now - job.submitted_at
         key = priority(self._state.rules, expected, job.shape.accelerators, waited)
-        return (key, job.submitted_at, job.job_id)
+        return (key, job.submitted_at)
 
     def _find(self, record: JobRecord, now: float) -> Block | None:
         block = find_block(self._state.cluster, record.job.shape, self._rules(record, now))
@@ -70,13 +72,13 @@
                 return 0
             if self._held_off(record, worker, now + expected):
                 return 0
-            free = node.free_units(job.shape)
+            free = min(node.free_units(job.shape), self._state.needs_units(job, node, now))
             if job.evictable:
                 return free
             limit = node.unreserved_units if over_reserved else node.hard_units
             return min(free, limit(job.shape))
 
-        return PlacementRules(units, self._state.rank)
+        return PlacementRules(units, self._state.ranking(job), by_rank=job.objective is not None)
 
     def _open_to(self, job: Job, worker: str, node: Node) -> bool:
         """A worker on probation takes one evictable job at a time."""
--- a/src/lacewingmill/scheduling/claims.py
+++ b/src/lacewingmill/scheduling/claims.py
@@ -91,4 +91,4 @@
                 return 0
             return min(node.free_units(shape), node.hard_units(shape))
 
-        return PlacementRules(units, self._state.rank)
+        return PlacementRules(units, self._state.ranking(record.job))
--- a/src/lacewingmill/scheduling/cluster.py
+++ b/src/lacewingmill/scheduling/cluster.py
@@ -29,15 +29,15 @@
     memory_gb: float = 0.0
 
     def add(self, shape: Shape, units: int) -> None:
-        """Add the needs of ``units`` accelerators of a shape; negative units subtract."""
-        self.accelerators += units
+        """Add the needs of ``units`` members of a shape; negative units subtract."""
+        self.accelerators += units * shape.unit_accelerators
         self.processors += shape.processors * units
         self.memory_gb += shape.memory_gb * units
 
 
 @attrs.frozen
 class Part:
-    """A number of accelerators on one worker."""
+    """A number of members of a gang on one worker."""
 
     worker: str
     units: int
@@ -56,6 +56,7 @@
     :param reserved: resources of unclaimed guaranteed shapes.
     :param pledged: resources that a pending claim will take once its victims are gone.
     :param gangs: accelerators by job.
+    :param members: members of each job's gang on this worker.
     """
 
     info: WorkerNode
@@ -65,26 +66,30 @@
     reserved: Resources = attrs.field(factory=Resources)
     pledged: Resources = attrs.field(factory=Resources)
     gangs: dict[str, tuple[int, ...]] = attrs.field(factory=dict)
+    members: dict[str, int] = attrs.field(factory=dict)
 
     def capacity_units(self, shape: Shape) -> int:
-        """Accelerators of a shape that fit into the empty worker."""
+        """Members of a shape that fit into the empty worker."""
         return self._units(shape, Resources(), Resources())
 
     def free_units(self, shape: Shape) -> int:
-        """Accelerators of a shape that fit beside all gangs and pending claims."""
+        """Members of a shape that fit beside all gangs and pending claims."""
         return self._units(shape, self.used, self.pledged)
 
     def hard_units(self, shape: Shape) -> int:
-        """Accelerators of a shape that fit beside hard work and reservations."""
+        """Members of a shape that fit beside hard work and reservations."""
         return self._units(shape, self.hard, self.reserved)
 
     def unreserved_units(self, shape: Shape) -> int:
-        """Accelerators of a shape that fit beside hard work alone."""
+        """Members of a shape that fit beside hard work alone."""
         return self._units(shape, self.hard, Resources())
 
     def _units(self, shape: Shape, taken: Resources, more: Resources) -> int:
         info = self.info
-        units = info.accelerators - taken.accelerators - more.accelerators
+        units = shape.units
+        if shape.unit_accelerators > 0:
+            left = info.accelerators - taken.accelerators - more.accelerators
+            units = left // shape.unit_accelerators
         if shape.processors > 0:
             left = info.processors - taken.processors - more.processors
             units = min(units, int((left + EPSILON) / shape.processors))
@@ -120,6 +125,8 @@
 
     def group_free(self, adjacency: Adjacency, name: str) -> int:
         """Return the free accelerators of a rack or failure domain by name."""
+        if adjacency is Adjacency.CLUSTER:
+            return self.free_accelerators
         counts = self._rack_free if adjacency is Adjacency.RACK else self._domain_free
         return counts.get(name, 0)
 
@@ -163,11 +170,13 @@
         members = []
         for part in block:
             node = self.nodes[part.worker]
-            indices = tuple(node.free[: part.units])
-            self._set_free(node, node.free[part.units :])
+            taken = part.units * shape.unit_accelerators
+            indices = tuple(node.free[:taken])
+            self._set_free(node, node.free[taken:])
             node.used.add(shape, part.units)
             node.gangs[job_id] = indices
-            members.append(Member(part.worker, indices))
+            node.members[job_id] = part.units
+            members.append(Member(part.worker, indices, part.units))
         return tuple(members)
 
     def adopt(self, job_id: str, shape: Shape, placement: Placement) -> None:
@@ -176,8 +185,9 @@
             node = self.nodes[member.worker]
             taken = set(member.accelerators)
             self._set_free(node, [index for index in node.free if index not in taken])
-            node.used.add(shape, len(member.accelerators))
+            node.used.add(shape, member.units)
             node.gangs[job_id] = member.accelerators
+            node.members[job_id] = member.units
 
     def release(self, job_id: str, shape: Shape, workers: Iterable[str]) -> None:
         """Free a job's accelerators on those of ``workers`` that are still here."""
@@ -187,7 +197,7 @@
                 continue
             indices = node.gangs.pop(job_id)
             self._set_free(node, sorted((*node.free, *indices)))
-            node.used.add(shape, -len(indices))
+            node.used.add(shape, -node.members.pop(job_id))
 
     def usable(self, node: Node) -> bool:
         """Whether placements may use the worker."""
@@ -203,6 +213,8 @@
         """Return the blocks wider than a worker that an adjacency allows."""
         if adjacency is Adjacency.RACK:
             return self.racks
+        if adjacency is Adjacency.CLUSTER:
+            return {"": self.nodes}
         return self.failure_domains
 
     def known(self, info: WorkerNode) -> None:
@@ -236,7 +248,7 @@
             group = _group_name(info, shape.adjacency)
             units = Node(info, []).capacity_units(shape)
             room[group] = room.get(group, 0) + units
-        return any(units >= shape.accelerators for units in room.values())
+        return any(units >= shape.units for units in room.values())
 
     def _set_free(self, node: Node, free: list[int]) -> None:
         name = node.info.worker
@@ -258,5 +270,6 @@
         Adjacency.WORKER: info.worker,
         Adjacency.RACK: info.rack,
         Adjacency.FAILURE_DOMAIN: info.failure_domain,
+        Adjacency.CLUSTER: "",
     }
     return names[adjacency]
--- a/src/lacewingmill/scheduling/healing.py
+++ b/src/lacewingmill/scheduling/healing.py
@@ -63,11 +63,11 @@
 ) -> Move | None:
     shape = waiting.job.shape
     free = node.free_units(shape)
-    if not cluster.usable(node) or free == 0 or node.capacity_units(shape) < shape.accelerators:
+    if not cluster.usable(node) or free == 0 or node.capacity_units(shape) < shape.units:
         return None
-    missing = shape.accelerators - free
+    missing = shape.units - free
     movable = sorted(
-        (len(held), job_id) for job_id, held in node.gangs.items() if _movable(records[job_id])
+        (units, job_id) for job_id, units in node.members.items() if _movable(records[job_id])
     )
     chosen: list[str] = []
     moved_units = 0
@@ -128,7 +128,7 @@
         for other in nodes.values():
             if other is node or not cluster.usable(other):
                 continue
-            if other.free_units(shape) < shape.accelerators:
+            if other.free_units(shape) < shape.units:
                 continue
             loss = packing.loss(other, shape.accelerators)
             if loss < best_loss:
@@ -151,5 +151,5 @@
     for nodes in cluster.nodes_by_free(shape.accelerators):
         for other in nodes.values():
             if other is not node and cluster.usable(other):
-                return other.free_units(shape) >= shape.accelerators
+                return other.free_units(shape) >= shape.units
     return False
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -23,6 +23,8 @@
     "JobFinished",
     "JobSubmitted",
     "Member",
+    "Needs",
+    "Objective",
     "Placement",
     "RefuseJob",
     "RunningGang",
@@ -31,6 +33,7 @@
     "StartGang",
     "StopGang",
     "TeamLimit",
+    "TeamQuota",
     "Tick",
     "WorkerAnswered",
     "WorkerJoined",
@@ -45,7 +48,10 @@
 
 @attrs.frozen
 class WorkerNode:
-    """A worker as the scheduler sees it."""
+    """A worker as the scheduler sees it.
+
+    :param labels: what jobs may ask a worker to have.
+    """
 
     worker: str
     rack: str
@@ -53,6 +59,7 @@
     accelerators: int
     processors: float
     memory_gb: float
+    labels: frozenset[str] = frozenset()
 
 
 def worker_node(vm: Vm) -> WorkerNode:
@@ -64,10 +71,16 @@
 
 @attrs.frozen
 class Member:
-    """The part of a gang on one worker, by accelerator index."""
+    """The part of a gang on one worker, by accelerator index.
+
+    :param units: members of the gang on this worker; one per accelerator by default.
+    """
 
     worker: str
     accelerators: tuple[int, ...]
+    units: int = attrs.field(
+        default=attrs.Factory(lambda self: len(self.accelerators), takes_self=True)
+    )
 
 
 Placement = tuple[Member, ...]
@@ -100,6 +113,45 @@
     max_accelerators: int
 
 
+@attrs.frozen
+class TeamQuota:
+    """Accelerators that belong to a team's urgent jobs at all times, whatever their shapes."""
+
+    service: str
+    team: str
+    accelerators: int
+
+
+@attrs.frozen
+class Needs:
+    """What a job asks of its workers beside room.
+
+    :param label: a label that each worker must have; empty for none.
+    :param rack: the rack that holds the job's data; work elsewhere takes several times as long.
+    :param group: jobs that count together for ``max_per_worker``.
+    :param max_per_worker: most members of the group on one worker; 0 for no limit.
+    """
+
+    label: str = ""
+    rack: str = ""
+    group: str = ""
+    max_per_worker: int = 0
+
+
+@attrs.frozen
+class Objective:
+    """When a job's answer is worth most, in seconds on the scheduler's clock.
+
+    :param rank: jobs of a lower rank go first.
+    :param due_at: from then on the answer is late.
+    :param last_at: from then on the answer is worth nothing.
+    """
+
+    rank: int
+    due_at: float
+    last_at: float
+
+
 @attrs.frozen
 class Job:
     """A gang job.
@@ -108,6 +160,8 @@
     :param idempotent: whether it may run twice.
     :param checkpoint: whether it can be stopped and resumed.
     :param submitted_at: time of submission, in seconds.
+    :param urgent: whether it may evict work that is not, and counts for its team's quota.
+    :param objective: when its answer is due; without one, expected run times order the jobs.
     """
 
     job_id: str
@@ -118,6 +172,9 @@
     idempotent: bool
     checkpoint: bool
     submitted_at: float
+    urgent: bool = False
+    needs: Needs = Needs()
+    objective: Objective | None = None
 
     @property
     def evictable(self) -> bool:
@@ -255,6 +312,7 @@
     slots: tuple[GuaranteedSlots, ...]
     limits: tuple[TeamLimit, ...]
     mix: tuple[Shape, ...]
+    quotas: tuple[TeamQuota, ...] = ()
 
 
 @attrs.frozen
--- a/src/lacewingmill/scheduling/order.py
+++ b/src/lacewingmill/scheduling/order.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-__all__ = ["OrderRules", "priority"]
+from lacewingmill.scheduling.messages import Objective
+
+__all__ = ["OrderRules", "objective_key", "priority"]
 
 
 @attrs.frozen
@@ -35,3 +37,14 @@
     work = expected_s * accelerators**rules.width_power
     patience = max(rules.shortest_ageing_s, rules.ageing * expected_s)
     return work / (1.0 + waited_s / patience)
+
+
+def objective_key(objective: Objective, expected_s: float, now: float) -> tuple[float, ...]:
+    """Return the key of a waiting job with an objective; the lowest goes first.
+
+    A job that can no longer be answered in time to be worth anything goes last.
+
+    :param expected_s: expected remaining run time, in seconds.
+    """
+    hopeless = now + expected_s > objective.last_at
+    return (float(hopeless), float(objective.rank), objective.due_at)
--- a/src/lacewingmill/scheduling/placement.py
+++ b/src/lacewingmill/scheduling/placement.py
@@ -59,12 +59,14 @@
 class PlacementRules:
     """What a placement may use and how it is ranked.
 
-    :param units: accelerators of the shape that a worker can give; the safety condition is here.
-    :param rank: cost of putting some accelerators of a gang on a worker; the lowest wins.
+    :param units: members of the shape that a worker can take; the safety condition is here.
+    :param rank: cost of putting some members of a gang on a worker; the lowest wins.
+    :param by_rank: whether a gang takes the workers of lowest rank rather than the fewest.
     """
 
     units: Callable[[Node], int]
     rank: Callable[[Node, int], float]
+    by_rank: bool = False
 
 
 def find_block(
@@ -88,12 +90,12 @@
     for nodes in cluster.nodes_by_free(least_free):
         seen = 0
         for node in nodes.values():
-            if not cluster.usable(node) or rules.units(node) < shape.accelerators:
+            if not cluster.usable(node) or rules.units(node) < shape.units:
                 continue
-            rank = rules.rank(node, shape.accelerators)
+            rank = rules.rank(node, shape.units)
             if rank < best_rank:
                 best_rank = rank
-                best = (Part(node.info.worker, shape.accelerators),)
+                best = (Part(node.info.worker, shape.units),)
             seen += 1
             if seen >= CANDIDATES_PER_GROUP:
                 break
@@ -124,12 +126,12 @@
 ) -> Block | None:
     """Fill a gang into a group, largest parts first so that it spans few workers."""
     offers = [(rules.units(node), node.info.worker) for node in nodes if cluster.usable(node)]
-    if sum(units for units, _ in offers) < shape.accelerators:
+    if sum(units for units, _ in offers) < shape.units:
         return None
     parts = []
-    missing = shape.accelerators
+    missing = shape.units
     while missing:
-        offer = _next_offer(offers, missing)
+        offer = _cheapest_offer(cluster, offers, missing, rules)
         offers.remove(offer)
         taken = min(offer[0], missing)
         parts.append(Part(offer[1], taken))
@@ -137,6 +139,22 @@
     return tuple(parts)
 
 
+def _cheapest_offer(
+    cluster: Cluster, offers: list[tuple[int, str]], missing: int, rules: PlacementRules
+) -> tuple[int, str]:
+    """Return the next part of a gang: by its rank for a member, or so that it spans few workers."""
+    if not rules.by_rank:
+        return _next_offer(offers, missing)
+
+    def cost(offer: tuple[int, str]) -> tuple[float, str]:
+        units = min(offer[0], missing)
+        if not units:
+            return (float("inf"), offer[1])
+        return (rules.rank(cluster.nodes[offer[1]], units) / units, offer[1])
+
+    return min(offers, key=cost)
+
+
 def _next_offer(offers: list[tuple[int, str]], missing: int) -> tuple[int, str]:
     """Return the smallest offer that takes the whole remainder, else the largest offer."""
     enough = [offer for offer in offers if offer[0] >= missing]
--- a/src/lacewingmill/scheduling/reclaim.py
+++ b/src/lacewingmill/scheduling/reclaim.py
@@ -13,13 +13,28 @@
 from lacewingmill.scheduling.placement import PlacementRules, find_block
 from lacewingmill.scheduling.records import JobRecord, JobState
 
-__all__ = ["Reclaim", "eviction_cost", "plan_reclaim"]
+__all__ = ["Reclaim", "ReclaimLimits", "eviction_cost", "plan_reclaim"]
 
 CHECKPOINT_LOSS_S = 5.0
 DOUBT_COST = 1e9
 ACTIVE_STATES = (JobState.STARTING, JobState.RUNNING)
 
 
+@attrs.frozen
+class ReclaimLimits:
+    """Limits of a claim beside the safety condition.
+
+    :param spare: which jobs may not be evicted though they are not hard; none by default.
+    :param units: most members that a worker may take. It also asks for room beside claims that
+        wait for evictions and are not hard; by default all waiting claims are hard.
+    :param by_rank: whether a gang takes the workers that are cheapest to clear.
+    """
+
+    spare: Callable[[JobRecord], bool] | None = None
+    units: Callable[[Node], int] | None = None
+    by_rank: bool = False
+
+
 @attrs.frozen
 class Reclaim:
     """A block to claim and the jobs to evict from it.
@@ -36,7 +51,7 @@
     """Return the accelerator-seconds that evicting a job loses."""
     elapsed = max(0.0, now - record.started_at)
     lost_s = CHECKPOINT_LOSS_S if record.job.checkpoint else elapsed
-    return (min(lost_s, elapsed) + 1.0) * record.job.shape.accelerators
+    return (min(lost_s, elapsed) + 1.0) * max(1, record.job.shape.accelerators)
 
 
 def plan_reclaim(
@@ -45,20 +60,29 @@
     records: dict[str, JobRecord],
     now: float,
     doubtful: Callable[[str], bool],
+    limits: ReclaimLimits | None = None,
 ) -> Reclaim | None:
     """Return the cheapest block for a claim, or ``None`` when hard work leaves none.
 
     The reservation of the claiming slot itself must be lifted before.
 
     :param doubtful: whether a worker has failed jobs; its accelerators are the last to be claimed.
+    :param limits: what may be evicted and where the claim may go; all that is not hard by default.
     """
-    chooser = _VictimChooser(shape, records, now)
+    limits = limits or ReclaimLimits()
+    chooser = _VictimChooser(shape, records, now, limits)
 
     def rank(node: Node, units: int) -> float:
         doubt = DOUBT_COST if doubtful(node.info.worker) else 0.0
         return chooser.cost(node, units) + doubt
 
-    rules = PlacementRules(units=lambda node: node.hard_units(shape), rank=rank)
+    def units(node: Node) -> int:
+        most = node.hard_units(shape)
+        if limits.units is None:
+            return most
+        return min(chooser.clearable_units(node, most), limits.units(node))
+
+    rules = PlacementRules(units, rank, by_rank=limits.by_rank)
     block = find_block(cluster, shape, rules, by_free=False)
     if block is None:
         return None
@@ -72,7 +96,10 @@
 class _VictimChooser:
     """Chooses evictable gangs on single workers."""
 
-    def __init__(self, shape: Shape, records: dict[str, JobRecord], now: float):
+    def __init__(
+        self, shape: Shape, records: dict[str, JobRecord], now: float, limits: ReclaimLimits
+    ):
+        self._limits = limits
         self._shape = shape
         self._records = records
         self._now = now
@@ -81,18 +108,29 @@
         """Return the accelerator-seconds lost by freeing accelerators on a worker."""
         return sum(self._price(victim) for victim in self.choose(node, units))
 
+    def clearable_units(self, node: Node, most: int) -> int:
+        """Return how many members fit once all that may be evicted is gone."""
+        for units in range(min(most, self._shape.units), 0, -1):
+            missing = self._missing(node, units)
+            for job_id in node.gangs:
+                if self._evictable(job_id):
+                    missing.give(self._records[job_id].job.shape, node.members[job_id])
+            if missing.satisfied():
+                return units
+        return 0
+
     def choose(self, node: Node, units: int) -> list[str]:
         """Return the gangs to evict so that ``units`` accelerators of the shape become free."""
         missing = self._missing(node, units)
         if missing.satisfied():
             return []
         candidates = [job_id for job_id in node.gangs if self._evictable(job_id)]
-        candidates.sort(key=lambda job_id: self._price(job_id) / len(node.gangs[job_id]))
+        candidates.sort(key=lambda job_id: self._price(job_id) / node.members[job_id])
         chosen = []
         for job_id in candidates:
             if missing.satisfied():
                 break
-            missing.give(self._records[job_id].job.shape, len(node.gangs[job_id]))
+            missing.give(self._records[job_id].job.shape, node.members[job_id])
             chosen.append(job_id)
         return self._drop_needless(node, chosen, missing)
 
@@ -100,7 +138,7 @@
         """Spare gangs that turn out not to be needed, dearest first."""
         kept = list(chosen)
         for job_id in sorted(chosen, key=self._price, reverse=True):
-            shape, units = self._records[job_id].job.shape, len(node.gangs[job_id])
+            shape, units = self._records[job_id].job.shape, node.members[job_id]
             missing.give(shape, -units)
             if missing.satisfied():
                 kept.remove(job_id)
@@ -112,21 +150,26 @@
         """Return what is missing once the gangs that are being evicted already are gone."""
         shape, info = self._shape, node.info
         missing = _Missing(
-            units + node.used.accelerators + node.pledged.accelerators - info.accelerators,
+            units * shape.unit_accelerators
+            + node.used.accelerators
+            + node.pledged.accelerators
+            - info.accelerators,
             units * shape.processors
             + node.used.processors
             + node.pledged.processors
             - info.processors,
             units * shape.memory_gb + node.used.memory_gb + node.pledged.memory_gb - info.memory_gb,
         )
-        for job_id, held in node.gangs.items():
+        for job_id, units_held in node.members.items():
             record = self._records[job_id]
             if record.state is JobState.EVICTING:
-                missing.give(record.job.shape, len(held))
+                missing.give(record.job.shape, units_held)
         return missing
 
     def _evictable(self, job_id: str) -> bool:
         record = self._records[job_id]
+        if self._limits.spare is not None and self._limits.spare(record):
+            return False
         return not record.hard and record.state in ACTIVE_STATES
 
     def _price(self, job_id: str) -> float:
@@ -142,7 +185,7 @@
     memory_gb: float
 
     def give(self, shape: Shape, units: int) -> None:
-        self.accelerators -= units
+        self.accelerators -= units * shape.unit_accelerators
         self.processors -= units * shape.processors
         self.memory_gb -= units * shape.memory_gb
 
--- a/src/lacewingmill/scheduling/records.py
+++ b/src/lacewingmill/scheduling/records.py
@@ -66,7 +66,7 @@
     @property
     def held_block(self) -> Block:
         """The placement as counts."""
-        return tuple(Part(member.worker, len(member.accelerators)) for member in self.placement)
+        return tuple(Part(member.worker, member.units) for member in self.placement)
 
     def note(self, now: float, text: str) -> None:
         """Remember a decision; a repeated one is kept once."""
--- a/src/lacewingmill/scheduling/reservation.py
+++ b/src/lacewingmill/scheduling/reservation.py
@@ -36,7 +36,7 @@
     best: Reservation | None = None
     for nodes in _blocks(cluster, job):
         usable = [node for node in nodes if cluster.usable(node)]
-        if sum(node.capacity_units(shape) for node in usable) < shape.accelerators:
+        if sum(node.capacity_units(shape) for node in usable) < shape.units:
             continue
         start_at = _free_at(usable, job, records, run_times, now)
         if best is None or start_at < best.start_at:
@@ -59,12 +59,12 @@
     now: float,
 ) -> float:
     """Return when enough accelerators of a block are expected to be free, in seconds."""
-    missing = job.shape.accelerators - sum(node.free_units(job.shape) for node in nodes)
+    missing = job.shape.units - sum(node.free_units(job.shape) for node in nodes)
     if missing <= 0:
         return now
     ends = []
     for node in nodes:
-        for job_id, held in node.gangs.items():
+        for job_id, units in node.members.items():
             other = records[job_id]
             left = run_times.remaining(
                 other.job.service,
@@ -72,7 +72,7 @@
                 other.job.shape.expected_s,
                 now - other.started_at + other.done_s,
             )
-            ends.append((now + left, len(held)))
+            ends.append((now + left, units))
     for end, units in sorted(ends):
         missing -= units
         if missing <= 0:
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -3,6 +3,7 @@
 The owner of a cell and the bench drive the same object. Time is passed in with every event.
 """
 
+from collections.abc import Iterable
 from functools import singledispatchmethod
 
 from lacewingmill.models import Shape
@@ -38,8 +39,10 @@
 )
 from lacewingmill.scheduling.order import OrderRules
 from lacewingmill.scheduling.placement import PackingValue
+from lacewingmill.scheduling.quotas import QuotaPlanner
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.state import HELD_STATES, CellState
+from lacewingmill.scheduling.suspects import FailureRules
 
 __all__ = ["Scheduler"]
 
@@ -48,24 +51,35 @@
     """Decides which gang runs where.
 
     :param rules: order, reservation and healing of borrowed work.
+    :param failure_rules: when failures are held against a worker or a job.
     """
 
-    def __init__(self, rules: OrderRules | None = None):
-        self._state = CellState(rules or OrderRules())
+    def __init__(self, rules: OrderRules | None = None, failure_rules: FailureRules | None = None):
+        self._state = CellState(rules or OrderRules(), failure_rules or FailureRules())
         self._claims = ClaimPlanner(self._state)
+        self._quotas = QuotaPlanner(self._state)
         self._borrowing = BorrowPlanner(self._state)
         self._healer = Healer(self._state)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what to do.
 
+        :param now: present time, in seconds.
+        """
+        return self.handle_all((event,), now)
+
+    def handle_all(self, events: Iterable[Event], now: float) -> list[Action]:
+        """Take in events in order, plan once and return what to do.
+
         :param now: present time, in seconds.
         """
         state = self._state
-        self._apply(event, now)
+        for event in events:
+            self._apply(event, now)
         self._open_probes(now)
         self._claims.start_pending(now)
         self._claims.place(now)
+        self._quotas.place(now)
         self._borrowing.place(now)
         if state.rules.heal:
             self._healer.heal(now)
@@ -262,6 +276,9 @@
             for limit in event.limits
             if limit.max_accelerators
         }
+        self._state.quotas = {
+            (quota.service, quota.team): quota.accelerators for quota in event.quotas
+        }
         self._state.mix = event.mix
         self._state.packing = PackingValue(self._state.cluster, event.mix)
         self._state.book.configure(event.slots)
@@ -281,7 +298,7 @@
             self._state.book.lift(slot)
             slot.holder = gang.job.job_id
             record.slot = slot
-        if slot is not None or not gang.job.evictable:
+        if slot is not None or not gang.job.evictable or (gang.guaranteed and gang.job.urgent):
             record.hard = True
             self._state.book.harden(gang.job.shape, record.held_block, 1)
         record.note(now, "found running by a new owner")
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -1,5 +1,7 @@
 """The state of a cell that the planners share, and the steps that change it."""
 
+from collections.abc import Callable
+
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, Node
 from lacewingmill.scheduling.guarantees import Slot, SlotBook
@@ -9,13 +11,14 @@
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.reservation import Reservation
 from lacewingmill.scheduling.runtimes import RunTimes
-from lacewingmill.scheduling.suspects import FailureBook
+from lacewingmill.scheduling.suspects import FailureBook, FailureRules
 
 __all__ = ["HELD_STATES", "CellState"]
 
 BEYOND_RESERVED_RANK = 0.25
 TIGHTNESS_RANK = 0.05
 DOUBTFUL_RANK = 100.0
+REMOTE_RANK = 30.0
 HELD_STATES = (JobState.STARTING, JobState.RUNNING, JobState.EVICTING)
 
 
@@ -23,9 +26,10 @@
     """Jobs, accelerators, guarantees and what was learned.
 
     :param rules: order, reservation and healing of borrowed work.
+    :param failure_rules: when failures are held against a worker or a job.
     """
 
-    def __init__(self, rules: OrderRules):
+    def __init__(self, rules: OrderRules, failure_rules: FailureRules):
         self.rules = rules
         self.cluster = Cluster()
         self.book = SlotBook(self.cluster)
@@ -33,11 +37,12 @@
         self.queue: dict[str, JobRecord] = {}
         self.pending: dict[str, JobRecord] = {}
         self.run_times = RunTimes()
-        self.failures = FailureBook()
+        self.failures = FailureBook(failure_rules)
         self.mix: tuple[Shape, ...] = ()
         self.packing = PackingValue(self.cluster, ())
         self.limits: dict[tuple[str, str], int] = {}
         self.held: dict[tuple[str, str], int] = {}
+        self.quotas: dict[tuple[str, str], int] = {}
         self.reservation: Reservation | None = None
         self.moving: set[str] = set()
         self.silent: set[str] = set()
@@ -205,12 +210,40 @@
         """Whether a job keeps off workers that have failed jobs: it cannot be run again."""
         return not job.idempotent and not self.out_of_patience(job, now)
 
-    def rank(self, node: Node, units: int) -> float:
-        """Cost of a placement: what gangs can no longer use, reserved blocks, tightness."""
-        left = len(node.free) - units
-        beyond = max(0, node.reserved.accelerators - left)
-        rank = self.packing.loss(node, units)
-        rank += BEYOND_RESERVED_RANK * beyond + TIGHTNESS_RANK * left
-        if self.failures.doubtful(node.info.worker):
-            rank += DOUBTFUL_RANK
+    def ranking(self, job: Job) -> Callable[[Node, int], float]:
+        """Return the cost of a job's placements.
+
+        Counted are what gangs can no longer use, reserved blocks, tightness, workers that have
+        failed jobs and workers away from the job's data.
+        """
+        size = job.shape.unit_accelerators
+
+        def rank(node: Node, units: int) -> float:
+            taken = units * size
+            left = len(node.free) - taken
+            beyond = max(0, node.reserved.accelerators - left)
+            cost = self.packing.loss(node, taken)
+            cost += BEYOND_RESERVED_RANK * beyond + TIGHTNESS_RANK * left
+            if self.failures.doubtful(node.info.worker):
+                cost += DOUBTFUL_RANK
+            if job.needs.rack and job.needs.rack != node.info.rack:
+                cost += REMOTE_RANK
+            return cost
+
         return rank
+
+    def needs_units(self, job: Job, node: Node, now: float) -> int:
+        """Return how many members of a job a worker may take by what the job needs of workers."""
+        needs = job.needs
+        if needs.label and needs.label not in node.info.labels:
+            return 0
+        if needs.rack and needs.rack != node.info.rack and not self.out_of_patience(job, now):
+            return 0
+        if not needs.max_per_worker:
+            return job.shape.units
+        present = sum(
+            units
+            for job_id, units in node.members.items()
+            if self.records[job_id].job.needs.group == needs.group
+        )
+        return max(0, needs.max_per_worker - present)
--- a/src/lacewingmill/scheduling/suspects.py
+++ b/src/lacewingmill/scheduling/suspects.py
@@ -7,14 +7,27 @@
 
 import attrs
 
-__all__ = ["FailureBook", "Verdict"]
+__all__ = ["FailureBook", "FailureRules", "Verdict"]
 
-BAD_JOB_WORKERS = 3
-BAD_WORKER_JOBS = 3
-FAILURE_WINDOW_S = 1800.0
-QUARANTINE_S = 30.0
-QUARANTINE_LONGEST_S = 3600.0
-RACK_SHARE = 0.34
+
+@attrs.frozen
+class FailureRules:
+    """When failures are held against a worker or a job.
+
+    :param bad_job_workers: a job that failed on so many workers is bad itself.
+    :param bad_worker_jobs: a worker on which so many jobs failed is quarantined.
+    :param window_s: how long a failure counts, in seconds.
+    :param quarantine_s: first pause of a worker, in seconds; it doubles with each failed probe.
+    :param longest_s: longest pause, in seconds.
+    :param rack_share: largest share of a rack's workers that may be quarantined at once.
+    """
+
+    bad_job_workers: int = 3
+    bad_worker_jobs: int = 3
+    window_s: float = 1800.0
+    quarantine_s: float = 30.0
+    longest_s: float = 3600.0
+    rack_share: float = 0.34
 
 
 @attrs.define
@@ -25,9 +38,9 @@
     :param until: end of the quarantine, in seconds; 0 when none.
     """
 
+    pause_s: float
     failures: dict[str, float] = attrs.field(factory=dict)
     until: float = 0.0
-    pause_s: float = QUARANTINE_S
     probing: bool = False
 
 
@@ -42,7 +55,8 @@
 class FailureBook:
     """Failures by worker and job."""
 
-    def __init__(self):
+    def __init__(self, rules: FailureRules | None = None):
+        self._rules = rules or FailureRules()
         self._workers: dict[str, _Record] = {}
         self._jobs: dict[str, set[str]] = {}
 
@@ -53,15 +67,15 @@
         """
         failed_on = self._jobs.setdefault(job_id, set())
         failed_on.add(worker)
-        record = self._workers.setdefault(worker, _Record())
-        if len(failed_on) >= BAD_JOB_WORKERS:
+        record = self._workers.setdefault(worker, _Record(self._rules.quarantine_s))
+        if len(failed_on) >= self._rules.bad_job_workers:
             for other in failed_on:
                 self._forgive(other, job_id)
             return Verdict(True, False)
         record.failures[job_id] = now
         if record.probing:
             record.probing = False
-            record.pause_s = min(record.pause_s * 2, QUARANTINE_LONGEST_S)
+            record.pause_s = min(record.pause_s * 2, self._rules.longest_s)
             record.until = now + record.pause_s
             return Verdict(False, True)
         return Verdict(False, self._quarantine(record, rack, now))
@@ -113,11 +127,11 @@
             record.failures.pop(job_id, None)
 
     def _quarantine(self, record: _Record, rack: frozenset[str], now: float) -> bool:
-        recent = [at for at in record.failures.values() if now - at <= FAILURE_WINDOW_S]
-        if len(recent) < BAD_WORKER_JOBS:
+        recent = [at for at in record.failures.values() if now - at <= self._rules.window_s]
+        if len(recent) < self._rules.bad_worker_jobs:
             return False
         already = sum(1 for worker in rack if self.quarantined(worker))
-        if (already + 1) / max(1, len(rack)) > RACK_SHARE:
+        if (already + 1) / max(1, len(rack)) > self._rules.rack_share:
             return False
         record.until = now + record.pause_s
         return True
