Open a job's steps only once a new owner has seen what runs

Cause of most LOST: an end listed in a worker's first answer opened the job's other tasks before the takeover had adopted their runs; they were then stopped as strays and never queued. Ruled out by the trace: scheduler, ledger, worker lists. Left: runs that lapse while all VMs are off.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -466,7 +466,8 @@
         if graph.state.final:
             return self._end_job(graph)
         signal = self.ledger.stage(job_id, graph.progress())
-        self._open_units(graph)
+        if self.open:  # a takeover first sees what runs
+            self._open_units(graph)
         return signal
 
     def _fail(
