Extend the leases of runs that a new owner has adopted

Cause of LOST after a takeover: a link without work sleeps until it is woken, and adopting a run did not wake it, so its leases lapsed unseen and its units counted as running for ever. Ruled out: the adoption itself (the trace shows the units among the running ones). A flush of events before an adoption also carries its actions out now.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -298,7 +298,8 @@
         """Let the schedulers know the workers before what runs on them is adopted."""
         events, self._events = self._events, []
         for service, event in events:
-            self._scheduler(service).handle(event, self._clock.now())
+            for action in self._scheduler(service).handle(event, self._clock.now()):
+                self._act(action)
 
     def _adopt_job(self, graph: JobGraph, uncertain: bool) -> None:
         job_id = graph.submission.job_id
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -157,6 +157,8 @@
     def expect(self, member: Member) -> None:
         """Count a member as possibly running on the worker from now on."""
         self.members[member.task] = member
+        if member.state is MemberState.RUNNING:  # found running: its lease must be extended
+            self._wake.set()
 
     def drop(self, member: Member) -> None:
         """Count a member no more."""
