Keep the workers in use in the store, so that a new owner asks them though they are unlisted

Ruled out: acknowledging ends before they are stored (the trace shows the end listed again). A leaving worker counts as gone only when it was in touch until it was unlisted and does not answer now. The list is polled once a second, for each worker writes its entry every 1.5 s.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -10,7 +10,9 @@
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.jobs.election import Tenure
 from lacewingmill.jobs.graph import JobGraph, Progress
+from lacewingmill.jobs.keys import PROGRESS_PREFIX, WORKERS_KEY, progress_key
 from lacewingmill.jobs.ledger import Ledger
+from lacewingmill.jobs.messages import WorkersUsed
 from lacewingmill.jobs.model import JobState, QueueTable, Submission, TaskId, Unit
 from lacewingmill.jobs.planning import new_scheduler, team_quotas, unit_job, worker_node_of
 from lacewingmill.jobs.ports import (
@@ -94,6 +96,8 @@
         self.graphs: dict[str, JobGraph] = {}
         self.shown: dict[str, JobState] = {}
         self._links: dict[str, WorkerLink] = {}
+        self._recorded: set[str] = set()
+        self._unrecorded: list[WorkerLink] = []
         self._active: dict[str, ActiveUnit] = {}
         self._runs: dict[str, int] = {}
         self._parked: dict[str, Unit] = {}
@@ -101,6 +105,7 @@
         self._events: list[tuple[str, Event]] = []
         self._found: dict[str, dict[TaskId, tuple[WorkerLink, RunListed]]] = {}
         self._held_back: set[str] = set()
+        self._uncertain: list[WorkerLink] = []
         self._wake = Signal()
         self._stopped = False
         self._mix_version = 0
@@ -151,7 +156,7 @@
         if graph is None:
             return None
         if graph.state.final:
-            return self.ledger.stage(job_id, graph.progress())
+            return self._store_progress(graph)
         graph.cancel(self._clock.wall())
         self._log.emit(LogEvent.JOB_CANCELLED, job=job_id)
         return self._end_job(graph)
@@ -178,7 +183,7 @@
         """Forget a job whose keys are gone from the store."""
         self.graphs.pop(job_id, None)
         self.shown.pop(job_id, None)
-        self.ledger.forget(job_id)
+        self.ledger.forget(progress_key(job_id))
 
     # Workers
 
@@ -199,6 +204,25 @@
                 self._feed_worker(link, WorkerLeaving(worker, stays=not entry.leaving))
         for worker in [name for name in self._links if name not in entries]:
             self._unlist(self._links[worker])
+        if any(worker not in self._recorded for worker in self._links):
+            self._record_workers()
+
+    def restore_workers(self, used: WorkersUsed) -> None:
+        """Ask the workers that earlier owners used, though they may not be listed now."""
+        for entry in used.entries:
+            self._recorded.add(entry.worker)
+            self._links[entry.worker] = self._new_link(entry)
+
+    def _record_workers(self) -> None:
+        """Store which workers may run something, before they are given anything."""
+        entries = tuple(link.entry for link in self._links.values())
+        self.ledger.stage(WORKERS_KEY, WorkersUsed(entries))
+
+    def _admit_recorded(self) -> None:
+        waiting, self._unrecorded = self._unrecorded, []
+        for link in waiting:
+            if link.opened:
+                self._admit(link)
 
     def _new_link(self, entry: WorkerEntry) -> WorkerLink:
         return WorkerLink(
@@ -211,17 +235,27 @@
             link.listed = False
             self._log.emit(LogEvent.WORKER_UNLISTED, worker=link.worker, leaving=link.entry.leaving)
             self._feed_worker(link, WorkerLeaving(link.worker))
-            if link.entry.leaving:
-                link.give_up()
-        if link.idle:
+            link.expect_exit(link.entry.leaving)
+        if link.idle and self._may_forget(link):
             link.stop()
             del self._links[link.worker]
             self._parts.orders.forget(link.entry)
             if link.opened:
                 self._feed_worker(link, WorkerLost(link.worker, left=True))
 
+    def _may_forget(self, link: WorkerLink) -> bool:
+        """Whether nothing can run on an unlisted worker; a takeover waits for its answer."""
+        return self.open and link not in self._uncertain
+
     def link_opened(self, link: WorkerLink, report: HoldReport) -> None:
         """A worker has answered for the first time, or after it had been given up."""
+        if link.worker in self._recorded:
+            self._admit(link)
+        else:
+            self._unrecorded.append(link)
+
+    def _admit(self, link: WorkerLink) -> None:
+        """Let the scheduler use a worker."""
         self._log.emit(LogEvent.WORKER_JOINED, worker=link.worker)
         node = worker_node_of(link.entry)
         leaving = link.entry.leaving or not link.listed
@@ -278,6 +312,7 @@
         while self._clock.now() < end and not all(link.opened for link in self._links.values()):
             self._clock.sleep(CONTACT_POLL_S)
         silent = [link for link in self._links.values() if not link.opened]
+        self._uncertain = silent if hold_back_s > 0 else []
         self._flush_workers()
         for graph in self.graphs.values():
             self._adopt_job(graph, bool(silent) and hold_back_s > 0)
@@ -290,7 +325,7 @@
             silent=len(silent),
             held_back=len(self._held_back),
         )
-        if self._held_back:
+        if self._uncertain:
             self._loops.append(gevent.spawn(self._release_later, silent, hold_back_s))
         self._wake.set()
 
@@ -362,6 +397,7 @@
         while self._clock.now() < end and not all(link.opened for link in silent):
             self._clock.sleep(TICK_S)
         self._held_back.clear()
+        self._uncertain = []
         self._retry_parked()
 
     # Units
@@ -466,7 +502,7 @@
             self._withdraw(graph, unit)
         if graph.state.final:
             return self._end_job(graph)
-        signal = self.ledger.stage(job_id, graph.progress())
+        signal = self._store_progress(graph)
         if self.open:  # a takeover first sees what runs
             self._open_units(graph)
         return signal
@@ -486,13 +522,13 @@
                 attempts=graph.submission.attempts,
             )
             return self._end_job(graph)
-        return self.ledger.stage(graph.submission.job_id, graph.progress())
+        return self._store_progress(graph)
 
     def _end_job(self, graph: JobGraph) -> Signal:
         """Store a final state and give back all that the job holds."""
         job_id = graph.submission.job_id
         self._log.emit(LogEvent.JOB_ENDED, job=job_id, state=graph.state.value)
-        signal = self.ledger.stage(job_id, graph.progress())
+        signal = self._store_progress(graph)
         for active in [a for a in self._active.values() if a.graph is graph]:
             self._close(active, Closing.CANCELLED, "")
         scheduler = self._scheduler(graph.submission.service)
@@ -727,9 +763,17 @@
             )
         self._close(active, Closing.REJECTED, member.worker)
 
-    def _committed(self, job_id: str, progress: Progress) -> None:
+    def _store_progress(self, graph: JobGraph) -> Signal:
+        return self.ledger.stage(progress_key(graph.submission.job_id), graph.progress())
+
+    def _committed(self, key: str, message: Progress | WorkersUsed) -> None:
+        if isinstance(message, WorkersUsed):
+            self._recorded = {entry.worker for entry in message.entries}
+            self._admit_recorded()
+            return
+        job_id = key.removeprefix(PROGRESS_PREFIX)
         if job_id in self.shown:
-            self.shown[job_id] = progress.state
+            self.shown[job_id] = message.state
 
 
 def _parse_unit(unit_id: str, graphs: dict[str, JobGraph]) -> Unit | None:
--- a/src/lacewingmill/jobs/inbox.py
+++ b/src/lacewingmill/jobs/inbox.py
@@ -13,10 +13,12 @@
     JOB_PREFIX,
     OWNER_KEY,
     PROGRESS_PREFIX,
+    WORKERS_KEY,
     cancel_key,
     job_key,
     progress_key,
 )
+from lacewingmill.jobs.messages import WorkersUsed
 from lacewingmill.jobs.model import Submission
 from lacewingmill.jobs.ports import ItemRevision, Record, Transaction, TransactionStore
 from lacewingmill.ports import Clock
@@ -63,8 +65,9 @@
         progress = {}
         for record in stored:
             job_id = record.key.removeprefix(PROGRESS_PREFIX)
-            self._director.ledger.know(job_id, record.revision)
+            self._director.ledger.know(record.key, record.revision)
             progress[job_id] = self._read(record, Progress)
+        self._load_workers()
         for record in records:
             if record.key.startswith(JOB_PREFIX):
                 submission = self._read(record, Submission)
@@ -87,6 +90,16 @@
             except StoreUnavailable:
                 self._clock.sleep(RETRY_S)
 
+    def _load_workers(self) -> None:
+        """Read the workers that earlier owners used, listed or not."""
+        record = self._store.get(WORKERS_KEY)
+        if record is None:
+            return
+        self._director.ledger.know(WORKERS_KEY, record.revision)
+        used = self._read(record, WorkersUsed)
+        if used is not None:
+            self._director.restore_workers(used)
+
     def _look(self) -> None:
         try:
             changes = self._store.watch(INBOX_PREFIX, after=self._revision, wait_s=0.0)
--- a/src/lacewingmill/jobs/keys.py
+++ b/src/lacewingmill/jobs/keys.py
@@ -7,6 +7,7 @@
     "OWNER_KEY",
     "PROGRESS_PREFIX",
     "TERM_KEY",
+    "WORKERS_KEY",
     "cancel_key",
     "job_key",
     "progress_key",
@@ -18,6 +19,7 @@
 PROGRESS_PREFIX = "lacewingmill/run/"
 OWNER_KEY = "lacewingmill/owner"
 TERM_KEY = "lacewingmill/term"
+WORKERS_KEY = "lacewingmill/workers"
 
 
 def job_key(job_id: str) -> str:
--- a/src/lacewingmill/jobs/ledger.py
+++ b/src/lacewingmill/jobs/ledger.py
@@ -1,6 +1,7 @@
-"""Writes the progress of jobs to the store, many jobs in one transaction."""
+"""The owner's writes to the store, many keys in one transaction."""
 
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 import gevent
@@ -8,37 +9,36 @@
 
 from lacewingmill.codec import encode
 from lacewingmill.exceptions import StoreUnavailable, TransactionConflict
-from lacewingmill.jobs.graph import Progress
-from lacewingmill.jobs.keys import OWNER_KEY, progress_key
+from lacewingmill.jobs.keys import OWNER_KEY
 from lacewingmill.jobs.ports import ItemRevision, Put, Transaction, TransactionStore
 from lacewingmill.ports import Clock
 
 __all__ = ["Ledger"]
 
-# The store takes 32 entries a transaction: one condition on the owner, two entries a job.
-JOBS_PER_COMMIT = 15
+# The store takes 32 entries a transaction: one condition on the owner, two entries a key.
+KEYS_PER_COMMIT = 15
 RETRY_S = 0.15
 
 
 @attrs.define
 class _Staged:
-    """Progress to write.
+    """A message to write.
 
-    :param written: set once this progress, or a later one, is in the store.
+    :param written: set once this message, or a later one, is in the store.
     """
 
-    progress: Progress
+    message: Any
     written: Event
 
 
 class Ledger:
-    """Commits progress under the condition that this VM still owns the jobs.
+    """Commits messages under the condition that this VM still owns the jobs.
 
     Each write also names the revision that it replaces, so that a write whose answer was lost and
     that takes effect late can never replace a newer one.
 
     :param fence: revision of the owner's key.
-    :param committed: called with each job and the progress that is in the store now.
+    :param committed: called with each key and the message that is in the store now.
     :param deposed: called when another VM owns the jobs.
     """
 
@@ -47,7 +47,7 @@
         store: TransactionStore,
         clock: Clock,
         fence: int,
-        committed: Callable[[str, Progress], None],
+        committed: Callable[[str, Any], None],
         deposed: Callable[[], None],
     ):
         self._store = store
@@ -61,20 +61,20 @@
         self._stopped = False
         self._loop = gevent.spawn(self._run)
 
-    def know(self, job_id: str, revision: int) -> None:
-        """Remember the revision of progress that was found in the store."""
-        self._revisions[job_id] = revision
+    def know(self, key: str, revision: int) -> None:
+        """Remember the revision of a key that was found in the store."""
+        self._revisions[key] = revision
 
-    def forget(self, job_id: str) -> None:
-        """Forget a job whose keys are gone."""
-        self._revisions.pop(job_id, None)
+    def forget(self, key: str) -> None:
+        """Forget a key that is gone."""
+        self._revisions.pop(key, None)
 
-    def stage(self, job_id: str, progress: Progress) -> Event:
-        """Write progress soon; the event is set once it is in the store."""
-        staged = self._staged.get(job_id)
+    def stage(self, key: str, message: Any) -> Event:
+        """Write a message soon; the event is set once it is in the store."""
+        staged = self._staged.get(key)
         if staged is None:
-            staged = self._staged[job_id] = _Staged(progress, Event())
-        staged.progress = progress
+            staged = self._staged[key] = _Staged(message, Event())
+        staged.message = message
         self._work.set()
         return staged.written
 
@@ -88,13 +88,13 @@
             self._work.wait()
             self._work.clear()
             while self._staged and not self._stopped:
-                batch = dict(list(self._staged.items())[:JOBS_PER_COMMIT])
-                for job_id in batch:
-                    del self._staged[job_id]
+                batch = dict(list(self._staged.items())[:KEYS_PER_COMMIT])
+                for key in batch:
+                    del self._staged[key]
                 self._write(batch)
 
     def _write(self, batch: dict[str, _Staged]) -> None:
-        values = {job_id: encode(staged.progress) for job_id, staged in batch.items()}
+        values = {key: encode(staged.message) for key, staged in batch.items()}
         while not self._stopped:
             try:
                 revision = self._store.commit(self._transaction(values))
@@ -107,21 +107,19 @@
                     return
                 self._learn(exc.revisions, values)
                 continue
-            for job_id, staged in batch.items():
-                self._revisions[job_id] = revision
-                self._committed(job_id, staged.progress)
+            for key, staged in batch.items():
+                self._revisions[key] = revision
+                self._committed(key, staged.message)
                 staged.written.set()
             return
 
     def _transaction(self, values: dict[str, bytes]) -> Transaction:
         expect = [ItemRevision(OWNER_KEY, self._fence)]
-        expect += [
-            ItemRevision(progress_key(job_id), self._revisions.get(job_id, 0)) for job_id in values
-        ]
-        puts = [Put(progress_key(job_id), value) for job_id, value in values.items()]
+        expect += [ItemRevision(key, self._revisions.get(key, 0)) for key in values]
+        puts = [Put(key, value) for key, value in values.items()]
         return Transaction(tuple(expect), tuple(puts))
 
     def _learn(self, revisions: dict[str, int], values: dict[str, bytes]) -> None:
         """Take in revisions that earlier writes of this VM made without an answer."""
-        for job_id in values:
-            self._revisions[job_id] = revisions.get(progress_key(job_id), 0)
+        for key in values:
+            self._revisions[key] = revisions.get(key, 0)
--- a/src/lacewingmill/jobs/roster.py
+++ b/src/lacewingmill/jobs/roster.py
@@ -9,8 +9,8 @@
 
 __all__ = ["Roster"]
 
-# A connection that went silent is noticed after one slice.
-WATCH_SLICE_S = 2.0
+# Workers write every second or two, so waiting for each change would cost a call a change.
+POLL_S = 1.0
 RETRY_S = 0.25
 
 
@@ -54,10 +54,9 @@
     def follow(self) -> None:
         """Follow changes for ever."""
         while True:
+            self._clock.sleep(POLL_S)
             try:
-                changes = self._store.watch(
-                    self._prefix, after=self._revision, wait_s=WATCH_SLICE_S
-                )
+                changes = self._store.watch(self._prefix, after=self._revision, wait_s=0.0)
                 self._revision = changes.revision
                 for change in changes.changes:
                     if change.record is None:
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -42,6 +42,8 @@
 SLOW_CLOCK = 1.03
 EXPIRY_MARGIN_S = 0.2
 FAILURES_UNTIL_SILENT = 2
+# Less than the silence for which the platform unlists a worker, and more than one long answer.
+HEARD_LATELY_S = 3.0
 UNHEALTHY_PAUSE_S = 1.0
 
 
@@ -137,6 +139,8 @@
         self._failures = 0
         self._unhealthy_until = 0.0
         self._look = False
+        self._heard_at = 0.0
+        self._exits = False
         self._loop = gevent.spawn(self._run)
 
     @property
@@ -224,9 +228,15 @@
         self._send_stop(Member(task, run, self.worker, MemberState.RUNNING))
         self.look()
 
-    def give_up(self) -> None:
-        """The worker is known to be gone: nothing runs there any more."""
-        self._lose()
+    def expect_exit(self, leaving: bool) -> None:
+        """The worker is listed no more.
+
+        One that was leaving and answered until now has exited if it does not answer any more; one
+        that was silent before may have been unlisted for its silence and run on.
+
+        :param leaving: whether it was leaving.
+        """
+        self._exits = leaving and self._clock.now() - self._heard_at < HEARD_LATELY_S
 
     def _send_stop(self, member: Member) -> bool:
         with self._slots:
@@ -291,6 +301,7 @@
 
     def _take(self, report: HoldReport, sent_at: float) -> None:
         self._failures = 0
+        self._heard_at = self._clock.now()
         self._offset = report.clock_s - self._clock.now()
         if report.incarnation != self._incarnation:
             self._restart(report.incarnation)
@@ -357,6 +368,9 @@
 
     def _fail(self) -> None:
         self._failures += 1
+        if self._exits:
+            self._lose()
+            return
         if self._failures >= FAILURES_UNTIL_SILENT:
             self._mark_silent()
 
