Count failed runs, not reports of them; let the leases of a silent worker end; an emulated platform

Failed runs are stored by number now. (2) Found by the new tests: an owner went on asking a silent worker for an extension, each of which may yet be carried out, so its leases never ended in the owner's eyes and its units waited for as long as the worker was cut off.

--- a/src/lacewingmill/adapters/clock.py
+++ b/src/lacewingmill/adapters/clock.py
@@ -3,6 +3,7 @@
 import time
 
 import gevent
+from gevent.event import Event
 
 __all__ = ["GeventClock"]
 
@@ -21,3 +22,7 @@
     def sleep(self, seconds: float) -> None:
         """Suspend the calling greenlet."""
         gevent.sleep(seconds)
+
+    def wait(self, event: Event, seconds: float) -> bool:
+        """Wait for an event, at most so long; return whether it is set."""
+        return event.wait(seconds)
--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -4,6 +4,8 @@
 import uuid
 from collections.abc import Callable
 
+import attrs
+
 from lacewingmill.adapters.clock import GeventClock
 from lacewingmill.adapters.http_client import HttpCaller
 from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest, HttpService
@@ -28,14 +30,28 @@
     decode_configuration,
     decode_worker,
 )
+from lacewingmill.ports import Clock
+
+__all__ = ["Outside", "build_job_vm"]
+
+
+@attrs.frozen
+class Outside:
+    """What a VM meets the outside with; tests put an emulation in its place.
+
+    :param serve: makes a service from an address, a handler and a callback for its errors.
+    """
 
-__all__ = ["build_job_vm"]
+    clock: Clock
+    caller: HttpCaller
+    serve: Callable[..., HttpService]
 
 
-def build_job_vm(settings: JobVmSettings) -> JobVm:
+def build_job_vm(settings: JobVmSettings, outside: Outside | None = None) -> JobVm:
     """Build a VM from the platform's settings."""
-    clock = GeventClock()
-    caller = HttpCaller()
+    outside = outside or Outside(GeventClock(), HttpCaller(), HttpService)
+    clock = outside.clock
+    caller = outside.caller
     log = EventLog(settings.vm)
     metrics = Metrics(settings.vm)
     store = HttpTransactionStore(settings.store, caller, metrics.store_called)
@@ -73,9 +89,9 @@
 
     vm.attach(
         elector,
-        HttpService(settings.front, FrontHandler(desk).handle, crashed),
-        HttpService(settings.ready, ReadyHandler(vm.why_not_ready).handle, crashed),
-        HttpService(settings.peers, desk.handle_peer, crashed),
-        HttpService(settings.metrics, show_metrics, crashed),
+        outside.serve(settings.front, FrontHandler(desk).handle, crashed),
+        outside.serve(settings.ready, ReadyHandler(vm.why_not_ready).handle, crashed),
+        outside.serve(settings.peers, desk.handle_peer, crashed),
+        outside.serve(settings.metrics, show_metrics, crashed),
     )
     return vm
--- a/src/lacewingmill/jobs/desk.py
+++ b/src/lacewingmill/jobs/desk.py
@@ -218,7 +218,7 @@
         if not self._owned(ask.job_id, ask.team, director):
             return Told(known=False)
         signal = director.cancel(ask.job_id)
-        if signal is None or not signal.wait(CANCEL_WAIT_S):
+        if signal is None or not self._clock.wait(signal, CANCEL_WAIT_S):
             return Told(known=False)
         return Told()
 
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -470,7 +470,7 @@
             run=ended.run,
             end=ended.end.value,
         )
-        return self._take_end(link, graph, unit, active, ended.end)
+        return self._take_end(link, graph, unit, active, ended)
 
     def _take_end(
         self,
@@ -478,12 +478,12 @@
         graph: JobGraph,
         unit: Unit,
         active: ActiveUnit | None,
-        end: RunEnd,
+        ended: RunEnded,
     ) -> Signal | None:
-        if end is RunEnd.DONE:
+        if ended.end is RunEnd.DONE:
             return self._finish(graph, unit, active)
-        if end is RunEnd.FAILED and (active is None or not active.failure_counted):
-            return self._fail(link, graph, unit, active)
+        if ended.end is RunEnd.FAILED and (active is None or not active.failure_counted):
+            return self._fail(link, graph, unit, ended.run, active)
         if active is not None:
             self._close(active, Closing.LOST, link.worker)
         return None
@@ -493,7 +493,6 @@
             if active is not None:
                 self._close(active, Closing.LOST, "")
             return None
-        job_id = graph.submission.job_id
         if not graph.is_done(unit):
             graph.finish(unit, self._clock.wall())
         if active is not None:
@@ -508,9 +507,14 @@
         return signal
 
     def _fail(
-        self, link: WorkerLink, graph: JobGraph, unit: Unit, active: ActiveUnit | None
+        self,
+        link: WorkerLink,
+        graph: JobGraph,
+        unit: Unit,
+        run: int,
+        active: ActiveUnit | None,
     ) -> Signal:
-        graph.fail(unit, self._clock.wall())
+        graph.fail(unit, run, self._clock.wall())
         if active is not None:
             active.failure_counted = True
             self._close(active, Closing.FAILED, link.worker)
--- a/src/lacewingmill/jobs/graph.py
+++ b/src/lacewingmill/jobs/graph.py
@@ -18,12 +18,12 @@
 
 @attrs.frozen
 class UnitFailures:
-    """How often a unit has failed; ``index`` is that of its first task."""
+    """The runs of a unit that failed; ``index`` is that of its first task."""
 
     occurrence: int
     step: int
     index: int
-    count: int
+    runs: tuple[int, ...]
 
 
 @attrs.frozen
@@ -53,7 +53,7 @@
         self.begun = False
         self.saved: dict[TaskId, str] = {}
         self._done: dict[tuple[int, int], set[int]] = {}
-        self._failures: dict[Unit, int] = {}
+        self._failures: dict[Unit, set[int]] = {}
         self._opened: set[tuple[int, int]] = set()
 
     def restore(self, progress: Progress) -> None:
@@ -68,7 +68,7 @@
             unit = self.unit_of(
                 TaskId(self.submission.job_id, failures.occurrence, failures.step, failures.index)
             )
-            self._failures[unit] = failures.count
+            self._failures[unit] = set(failures.runs)
         self.begun = bool(self._done or self._failures)
 
     def progress(self) -> Progress:
@@ -81,8 +81,8 @@
             bitmap = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
             done.append(StepDone(occurrence, step, bitmap))
         failures = [
-            UnitFailures(unit.occurrence, unit.step, unit.indexes[0], count)
-            for unit, count in self._failures.items()
+            UnitFailures(unit.occurrence, unit.step, unit.indexes[0], tuple(sorted(runs)))
+            for unit, runs in self._failures.items()
         ]
         return Progress(self.state, tuple(done), tuple(failures))
 
@@ -136,12 +136,16 @@
         if self._all_done():
             self._end(JobState.COMPLETED, wall)
 
-    def fail(self, unit: Unit, wall: float) -> None:
-        """Take in that a run of a unit failed; too many failures fail the job."""
+    def fail(self, unit: Unit, run: int, wall: float) -> None:
+        """Take in that a run of a unit failed; too many failures fail the job.
+
+        The same failure may be listed again to a new owner, so runs are counted, not reports.
+        """
         if self.state.final or self.submission.steps[unit.step].lasting:
             return
-        self._failures[unit] = self._failures.get(unit, 0) + 1
-        if self._failures[unit] >= self.submission.attempts:
+        runs = self._failures.setdefault(unit, set())
+        runs.add(run)
+        if len(runs) >= self.submission.attempts:
             self._end(JobState.FAILED, wall)
 
     def cancel(self, wall: float) -> None:
@@ -151,7 +155,7 @@
 
     def failures(self, unit: Unit) -> int:
         """Return how often a unit has failed."""
-        return self._failures.get(unit, 0)
+        return len(self._failures.get(unit, ()))
 
     def remaining_chain_s(self, number: int) -> float:
         """Return the declared time of the longest chain that begins with a step, in seconds."""
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -267,7 +267,10 @@
                 continue
             if self.opened and not self.silent and self.idle and not self._look:
                 unsent = self._acked != self._acked_sent or self._pending
-                self._wake.wait(ACK_DELAY_S if unsent else None)
+                if unsent:
+                    self._clock.wait(self._wake, ACK_DELAY_S)
+                else:
+                    self._wake.wait()
             self._wake.clear()
             self._look_once()
 
@@ -275,7 +278,8 @@
         quick = self._look or self.idle or not self.opened or self.silent or bool(self._pending)
         self._look = False
         wait_s = 0.0 if quick else min(LONGEST_WAIT_S, self._limits.longest_hold_s / 3)
-        until = self._until() if self.opened else 0.0
+        # An extension without an answer may still be carried out; a silent worker's leases must end.
+        until = self._until() if self.opened and self._failures == 0 else 0.0
         self._expires_at = max(self._expires_at, self._lapse_at(until) if until else 0.0)
         sent_at = self._clock.now()
         acked = self._acked if self._failures == 0 else 0
@@ -328,7 +332,7 @@
         """Let the worker forget its ends once what they changed is in the store."""
         while self._pending:
             oldest = self._pending[0]
-            if not all(event.wait(UNACKED_PAUSE_S) for event in oldest.written):
+            if not all(self._clock.wait(event, UNACKED_PAUSE_S) for event in oldest.written):
                 return
             self._acked = max(self._acked, oldest.number)
             self._pending.popleft()
--- a/src/lacewingmill/ports.py
+++ b/src/lacewingmill/ports.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 import attrs
+from gevent.event import Event
 
 from lacewingmill.models import Fence, Vm
 
@@ -36,6 +37,9 @@
     def sleep(self, seconds: float) -> None:
         """Suspend the calling greenlet."""
 
+    def wait(self, event: Event, seconds: float) -> bool:
+        """Wait for an event, at most so long; return whether it is set."""
+
 
 @attrs.frozen
 class StoreEntry:
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,13 @@
+"""An emulator of the users' platform, written from its pages; shares no decoder with the product.
+
+The parts answer calls as plain data and live on a clock that is passed in. Tests reach them through
+:class:`~standins.platform.network.EmulatedNetwork` on virtual time; the demonstration serves them
+over loopback.
+"""
+
+from standins.platform.executors import Executor, RunBook
+from standins.platform.kv import KvStore
+from standins.platform.network import EmulatedNetwork
+from standins.platform.operator import Operator, configuration
+
+__all__ = ["EmulatedNetwork", "Executor", "KvStore", "Operator", "RunBook", "configuration"]
--- /dev/null
+++ b/standins/platform/kv.py
@@ -0,0 +1,238 @@
+"""The platform's key-value store: revisions, transactions, leases, watches and faults."""
+
+import base64
+import itertools
+import json
+import random
+from urllib.parse import parse_qs, urlsplit
+
+import attrs
+from gevent.event import Event
+
+__all__ = ["KvFaults", "KvStore"]
+
+MAX_ENTRIES = 32
+PAGE_ITEMS = 500
+LONGEST_WAIT_S = 30.0
+READ_ONLY = ("op/", "servers/")
+
+
+@attrs.define
+class KvFaults:
+    """What the store does wrong.
+
+    :param down: answers 503 to everybody.
+    :param turned_away: names of callers that get 503.
+    :param slow_s: added before each answer, in seconds.
+    :param lose_writes: number of transactions that take effect and are not answered.
+    :param late_writes: number of transactions that are not answered and take effect later.
+    :param late_s: how much later, in seconds.
+    """
+
+    down: bool = False
+    turned_away: set[str] = attrs.field(factory=set)
+    slow_s: float = 0.0
+    lose_writes: int = 0
+    late_writes: int = 0
+    late_s: float = 2.0
+
+
+@attrs.define
+class _Item:
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+
+@attrs.define
+class _Lease:
+    ttl_s: float
+    ends_at: float
+
+
+class KvStore:
+    """The store as data; ``handle`` answers one call.
+
+    :param clock: time of the emulated platform.
+    """
+
+    def __init__(self, clock, seed: int = 0):
+        self.faults = KvFaults()
+        self.calls: dict[str, int] = {}
+        self.revision = 1
+        self._clock = clock
+        self._items: dict[str, _Item] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._lease_ids = itertools.count(7000)
+        self._history: list[dict] = []
+        self._forgotten = 0
+        self._changed = Event()
+        self._rng = random.Random(seed)
+
+    def handle(self, caller: str, method: str, target: str, body: bytes) -> tuple[int, dict] | None:
+        """Answer a call; ``None`` when the answer is lost."""
+        url = urlsplit(target)
+        name = url.path.split("/")[1]
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if self.faults.slow_s:
+            self._clock.sleep(self.faults.slow_s)
+        if self.faults.down or caller in self.faults.turned_away:
+            return 503, {}
+        self._expire()
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        if name == "kv-key":
+            return self._get(query["key"])
+        if name == "kv-range":
+            return self._range(query)
+        if name == "kv-watch":
+            return self._watch(caller, query)
+        if name == "kv-txn":
+            return self._transact(json.loads(body))
+        if name == "kv-lease":
+            return self._grant(json.loads(body)["ttl_ms"] / 1000)
+        lease = int(url.path.split("/")[2])
+        if name == "kv-keep":
+            return self._keep(lease)
+        return self._end(lease)
+
+    def write(self, key: str, value: dict | bytes | None) -> None:
+        """Write or remove a key as the operator and the executors do."""
+        data = value if isinstance(value, bytes | None) else json.dumps(value).encode()
+        self._expire()
+        self._apply({key: (data, 0)} if data is not None else {}, [key] if data is None else [])
+
+    def forget_history(self) -> None:
+        """Forget all changes so far."""
+        self._forgotten = self.revision
+        self._history.clear()
+        self._wake()
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys under a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def _get(self, key: str) -> tuple[int, dict]:
+        item = self._items.get(key)
+        if item is None:
+            return 404, {"store_revision": self.revision}
+        return 200, {**_shown(key, item), "store_revision": self.revision}
+
+    def _range(self, query: dict) -> tuple[int, dict]:
+        after = query.get("after", "")
+        keys = [key for key in self.keys(query["prefix"]) if key > after]
+        page = [_shown(key, self._items[key]) for key in keys[:PAGE_ITEMS]]
+        return 200, {
+            "items": page,
+            "has_more": len(keys) > PAGE_ITEMS,
+            "store_revision": self.revision,
+        }
+
+    def _watch(self, caller: str, query: dict) -> tuple[int, dict]:
+        after = int(query["after"])
+        ends_at = self._clock.now() + min(LONGEST_WAIT_S, int(query["wait_ms"]) / 1000)
+        while True:
+            if after < self._forgotten:
+                return 410, {}
+            if self.faults.down or caller in self.faults.turned_away:
+                return 503, {}
+            events = [
+                event
+                for event in self._history
+                if event["revision"] > after and event["key"].startswith(query["prefix"])
+            ]
+            left = ends_at - self._clock.now()
+            if events or left <= 0:
+                return 200, {"events": events, "store_revision": self.revision}
+            self._clock.wait(self._changed, left)
+            self._expire()
+
+    def _transact(self, body: dict) -> tuple[int, dict] | None:
+        expect, puts = body.get("expect_rev", []), body.get("puts", [])
+        remove = body.get("remove", [])
+        if len(expect) + len(puts) + len(remove) > MAX_ENTRIES:
+            return 400, {}
+        if any(put["key"].startswith(READ_ONLY) for put in puts):
+            return 403, {}
+        if self.faults.late_writes:
+            self.faults.late_writes -= 1
+            self._clock.sleep(self.faults.late_s)
+            self._try(expect, puts, remove)
+            return None
+        answer = self._try(expect, puts, remove)
+        if self.faults.lose_writes and answer[0] == 200:
+            self.faults.lose_writes -= 1
+            return None
+        return answer
+
+    def _try(self, expect: list, puts: list, remove: list) -> tuple[int, dict]:
+        found = {row["key"]: self._items.get(row["key"]) for row in expect}
+        if any((found[row["key"]] or _ABSENT).revision != row["revision"] for row in expect):
+            items = [_shown(key, item or _ABSENT) for key, item in found.items()]
+            return 412, {"items": items}
+        if any(put.get("lease") and put["lease"] not in self._leases for put in puts):
+            return 404, {}
+        values = {
+            put["key"]: (base64.b64decode(put["value"], validate=True), put.get("lease", 0))
+            for put in puts
+        }
+        return 200, {"revision": self._apply(values, remove)}
+
+    def _apply(self, values: dict[str, tuple[bytes, int]], remove: list[str]) -> int:
+        self.revision += 1
+        for key, (value, lease) in values.items():
+            before = self._items.get(key)
+            created = before.created if before else self.revision
+            item = self._items[key] = _Item(value, self.revision, created, lease)
+            self._history.append(_shown(key, item))
+        for key in remove:
+            if self._items.pop(key, None) is not None:
+                self._history.append({"key": key, "revision": self.revision, "deleted": True})
+        self._wake()
+        return self.revision
+
+    def _grant(self, ttl_s: float) -> tuple[int, dict]:
+        number = next(self._lease_ids)
+        self._leases[number] = _Lease(ttl_s, self._clock.now() + ttl_s)
+        return 200, {"lease": number, "ttl_ms": int(ttl_s * 1000)}
+
+    def _keep(self, number: int) -> tuple[int, dict]:
+        lease = self._leases.get(number)
+        if lease is None:
+            return 404, {}
+        lease.ends_at = self._clock.now() + lease.ttl_s
+        return 200, {"ttl_ms": int(lease.ttl_s * 1000)}
+
+    def _end(self, number: int) -> tuple[int, dict]:
+        if self._leases.pop(number, None) is None:
+            return 404, {}
+        self._drop_of(number)
+        return 200, {}
+
+    def _expire(self) -> None:
+        for number, lease in list(self._leases.items()):
+            if lease.ends_at <= self._clock.now():
+                del self._leases[number]
+                self._drop_of(number)
+
+    def _drop_of(self, lease: int) -> None:
+        keys = [key for key, item in self._items.items() if item.lease == lease]
+        if keys:
+            self._apply({}, keys)
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+
+_ABSENT = _Item(b"", 0, 0, 0)
+
+
+def _shown(key: str, item: _Item) -> dict:
+    return {
+        "key": key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created": item.created,
+        "lease": item.lease,
+    }
--- /dev/null
+++ b/standins/platform/network.py
@@ -0,0 +1,133 @@
+"""A network in this process: calls reach emulated parts and VMs, or fail as real ones do."""
+
+import json
+
+import attrs
+import gevent
+
+from lacewingmill.adapters.http_client import HttpReply
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest
+from lacewingmill.exceptions import CallTimeout, ConnectFailed, TransportError
+
+__all__ = ["EmulatedNetwork", "EmulatedService"]
+
+LATENCY_S = 0.001
+
+
+class EmulatedNetwork:
+    """Addresses of emulated parts, and the cuts between them.
+
+    :param clock: virtual time.
+    """
+
+    def __init__(self, clock, store, store_address: str):
+        self.clock = clock
+        self.store = store
+        self.executors: dict[str, object] = {}
+        self.services: dict[str, EmulatedService] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.lost_orders: set[str] = set()
+        self.late_orders: dict[str, float] = {}
+        self._store_address = store_address
+
+    def caller(self, name: str) -> "_Caller":
+        """Return the HTTP client of one VM."""
+        return _Caller(self, name)
+
+    def service(self, address: str, handle, on_error=None) -> "EmulatedService":
+        """Return an HTTP service of a VM, in the place of a listening one."""
+        return EmulatedService(self, address, handle)
+
+    def reachable(self, name: str, address: str) -> bool:
+        """Whether a VM's packets reach an address."""
+        return (name, address) not in self.cut and (name, "*") not in self.cut
+
+
+@attrs.define(eq=False)
+class EmulatedService:
+    """A service that takes calls while it is started."""
+
+    network: EmulatedNetwork
+    address: str
+    handle: object
+    in_flight: int = 0
+
+    def start(self) -> None:
+        """Take calls."""
+        self.network.services[self.address] = self
+
+    def drain(self) -> None:
+        """Go on as before; calls here have no connections."""
+
+    def close(self) -> None:
+        """Take no more calls."""
+        if self.network.services.get(self.address) is self:
+            del self.network.services[self.address]
+
+    def call(self, method: str, path: str, headers: dict, body: bytes) -> HttpAnswer:
+        """Answer one call."""
+        fields = {name.lower(): value for name, value in headers.items()}
+        self.in_flight += 1
+        try:
+            return self.handle(HttpRequest(method, path, "", fields, body))
+        finally:
+            self.in_flight -= 1
+
+
+class _Caller:
+    """Takes the place of the product's HTTP client."""
+
+    def __init__(self, network: EmulatedNetwork, name: str):
+        self._network = network
+        self._name = name
+        self.alive = True
+
+    def call(self, peer, method, path, *, body=b"", headers=None, timeout_s):
+        """Send one request and return its whole answer, or fail as a network does."""
+        network = self._network
+        network.clock.sleep(LATENCY_S)
+        if not self.alive:
+            network.clock.sleep(1e9)
+        if not network.reachable(self._name, peer):
+            network.clock.sleep(timeout_s)
+            raise CallTimeout("no answer", step=path, peer=peer)
+        if peer == network._store_address:
+            return self._finish(network.store.handle(self._name, method, path, body), timeout_s)
+        if peer in network.executors:
+            return self._order(peer, path, headers or {}, body, timeout_s)
+        service = network.services.get(peer)
+        if service is None:
+            raise ConnectFailed("refused", step="connect", peer=peer)
+        answer = service.call(method, path, headers or {}, body)
+        return HttpReply(answer.status, {}, answer.body)
+
+    def forget(self, peer) -> None:
+        """Close nothing; calls here have no connections."""
+
+    def _order(self, peer, path, headers, body, timeout_s):
+        network = self._network
+        executor = network.executors[peer]
+        if executor.name in network.lost_orders and path != "/hold":
+            network.clock.sleep(timeout_s)
+            raise CallTimeout("order lost", step=path, peer=peer)
+        late_s = network.late_orders.get(executor.name)
+        if late_s is not None and path != "/hold":
+            gevent.spawn(self._later, executor, path, headers, body, late_s)
+            network.clock.sleep(timeout_s)
+            raise CallTimeout("order late", step=path, peer=peer)
+        return self._finish(executor.handle(path, headers, body), timeout_s)
+
+    def _later(self, executor, path, headers, body, late_s) -> None:
+        self._network.clock.sleep(late_s)
+        executor.handle(path, headers, body)
+
+    def _finish(self, answer, timeout_s):
+        network = self._network
+        if answer is None:
+            network.clock.sleep(timeout_s)
+            raise TransportError("answer lost", step="call", peer=self._name)
+        network.clock.sleep(LATENCY_S)
+        if not self.alive:
+            network.clock.sleep(1e9)
+        status, body = answer
+        return HttpReply(status, {}, json.dumps(body).encode())
--- /dev/null
+++ b/standins/platform/operator.py
@@ -0,0 +1,60 @@
+"""The platform's operator: writes configurations and registers executors."""
+
+from standins.platform.kv import KvStore
+
+__all__ = ["Operator", "configuration"]
+
+SERVICE = "plumes"
+HOST = "desk.example"
+
+
+def configuration(version: int, *, quota: int = 8, keys=("key-a",), queues=()) -> dict:
+    """Return a configuration with an urgent, an ordinary and a patient queue."""
+    routes = [
+        _route("urgent", 0, attempts=2, stretch=1.5, slo_ms=250),
+        _route("ordinary", 1, attempts=4, stretch=3.0, slo_ms=1000),
+        _route("patient", 2, attempts=2, stretch=3.0, slo_ms=3000),
+        *queues,
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": SERVICE, "admission_check": True}],
+        "limits": {},
+        "tenants": [{"name": "team-a", "api_keys": list(keys), "guaranteed": {"gpu": quota}}],
+    }
+
+
+def _route(name: str, priority: int, *, attempts: int, stretch: float, slo_ms: int) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": "non_idempotent",
+        "service": SERVICE,
+        "timeout_ms": 3000,
+        "slo_ms": slo_ms,
+        "priority": priority,
+        "attempts": attempts,
+        "stretch": stretch,
+        "public": False,
+    }
+
+
+class Operator:
+    """Writes to the store what the operator and the executors write."""
+
+    def __init__(self, store: KvStore):
+        self._store = store
+
+    def configure(self, config: dict) -> None:
+        """Put a configuration in force."""
+        self._store.write("op/config", config)
+
+    def register(self, executor, state: str = "ready") -> None:
+        """Write an executor's entry."""
+        self._store.write(f"servers/{executor.name}", executor.registration(state))
+
+    def unregister(self, executor) -> None:
+        """Remove an executor's entry."""
+        self._store.write(f"servers/{executor.name}", None)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -42,6 +42,13 @@
         heapq.heappush(self._sleepers, (self.time + seconds, next(self._order), woken))
         woken.wait()
 
+    def wait(self, event, seconds):
+        woken = Event()
+        heapq.heappush(self._sleepers, (self.time + seconds, next(self._order), woken))
+        event.rawlink(lambda _: woken.set())
+        woken.wait()
+        return event.is_set()
+
     def settle(self):
         for _ in range(SETTLE_TURNS):
             gevent.sleep(0)
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,107 @@
+"""Whole VMs against the emulated platform, in this process and on virtual time."""
+
+import json
+
+from lacewingmill.job_composition import Outside, build_job_vm
+from lacewingmill.jobs.settings import JobVmSettings, PlatformLimits
+from standins.platform import EmulatedNetwork, Executor, KvStore, Operator, RunBook, configuration
+from standins.platform.operator import HOST, SERVICE
+from tests.fakes import VirtualClock
+
+STORE = "10.9.0.1:1"
+LIMITS = PlatformLimits(2.0, 6.0, 0.4, 3.0, 6.0, 120.0, 3.0, 0.25, 1.0)
+
+
+class PlatformFleet:
+    """Some VMs, some executors of 8 GPUs and 32 cores in racks of two, and a store."""
+
+    def __init__(self, vms=2, executors=4):
+        self.clock = VirtualClock()
+        self.kv = KvStore(self.clock)
+        self.network = EmulatedNetwork(self.clock, self.kv, STORE)
+        self.operator = Operator(self.kv)
+        self.book = RunBook()
+        self.executors = [self.add_executor(number) for number in range(executors)]
+        self.config = configuration(1)
+        self.operator.configure(self.config)
+        self.vms = {}
+        self.callers = {}
+        for number in range(vms):
+            self.start_vm(f"vm{number}")
+        self.clock.advance(1.5)
+
+    def add_executor(self, number):
+        address = f"10.8.0.{number}:1"
+        entry = {
+            "service": SERVICE,
+            "addr": address,
+            "zone": f"z{number // 2}",
+            "capacity": {"cpu": 32000, "mem_mb": 131072, "gpu": 8},
+            "labels": ["a", f"r{number // 2}"],
+        }
+        executor = Executor(f"i-{number}", entry, self.clock, self.book)
+        self.network.executors[address] = executor
+        self.operator.register(executor)
+        return executor
+
+    def start_vm(self, name):
+        caller = self.network.caller(name)
+        settings = JobVmSettings(
+            name, "z0", f"{name}:80", f"{name}:81", f"{name}:82", f"{name}:83", STORE, LIMITS
+        )
+        vm = build_job_vm(settings, Outside(self.clock, caller, self.network.service))
+        vm.start()
+        self.vms[name] = vm
+        self.callers[name] = caller
+
+    def kill(self, name):
+        """End a VM as by a loss of power: nothing it holds survives, no call of it goes on."""
+        self.callers[name].alive = False
+        vm = self.vms.pop(name)
+        vm.leave()
+        for address in list(self.network.services):
+            if address.startswith(f"{name}:"):
+                del self.network.services[address]
+
+    @property
+    def owner(self):
+        """Name of the VM that directs the jobs."""
+        owners = [n for n, vm in self.vms.items() if vm.director is not None and vm.director.open]
+        return owners[0] if owners else None
+
+    def call(self, vm, method, path, body=None, key="key-a", host=HOST):
+        """Send one call of a consumer and return status and body."""
+        service = self.network.services[f"{vm}:80"]
+        data = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
+        headers = {"Host": host, "Authorization": f"Token {key}", "X-Deadline-Ms": "3000"}
+        answer = service.call(method, path, headers, data)
+        return answer.status, json.loads(answer.body), answer.headers
+
+    def submit(self, vm, queue, job_id, steps, spec="run_s=1"):
+        self.book.jobs.setdefault(job_id, self._facts(steps))
+        status, _, _ = self.call(vm, "POST", f"/{queue}/{job_id}", {"spec": spec, "steps": steps})
+        self.book.jobs[job_id].accepted |= status == 200
+        return status
+
+    @staticmethod
+    def _facts(steps):
+        from standins.platform.executors import JobFacts
+
+        return JobFacts(steps)
+
+    def state(self, vm, queue, job_id):
+        status, body, _ = self.call(vm, "GET", f"/{queue}/{job_id}")
+        return body["state"] if status == 200 else status
+
+    def check_promises(self):
+        """No task ran twice at the same time, or again after its end was noted."""
+        assert [(a.task, a.number, b.number) for a, b in self.book.overlaps()] == []
+        assert [(run.task, run.number) for run in self.book.repeated()] == []
+
+
+def step(count=1, gpu=1, cpu=1000, **fields):
+    return {"count": count, "gpu": gpu, "cpu": cpu, "mem_mb": 1024, "est_runtime_ms": 1000} | fields
+
+
+def job_id(number):
+    return f"{number:016x}"
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,92 @@
+"""Jobs of steps from hand-in to completion, through the adapters, on virtual time."""
+
+import gevent
+import pytest
+
+from tests.platform_fleet import PlatformFleet, job_id, step
+
+
+@pytest.fixture
+def fleet():
+    return PlatformFleet()
+
+
+def run(fleet, call, *args, seconds=3.0):
+    """Make a call of a consumer while time passes."""
+    greenlet = gevent.spawn(call, *args)
+    fleet.clock.advance(seconds)
+    return greenlet.get(block=False)
+
+
+def test_a_job_of_two_steps_completes_in_order(fleet):
+    steps = [step(count=3), step(count=2, after=[0])]
+    assert run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps) == 200
+    fleet.clock.advance(4.0)
+    for vm in fleet.vms:
+        assert run(fleet, fleet.state, vm, "ordinary", job_id(1)) == "completed"
+    first = [r for r in fleet.book.runs if ".0.0." in r.task]
+    second = [r for r in fleet.book.runs if ".0.1." in r.task]
+    assert len(first) == 3 and len(second) == 2
+    assert max(r.ended_at for r in first) <= min(r.started_at for r in second)
+    fleet.check_promises()
+
+
+def test_a_gang_starts_whole(fleet):
+    steps = [step(count=3, gpu=8, gang=True)]
+    assert run(fleet, fleet.submit, "vm1", "ordinary", job_id(1), steps, seconds=1.0) == 200
+    assert len({r.executor for r in fleet.book.runs}) == 3
+    fleet.clock.advance(2.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+
+
+def test_a_repeated_hand_in_is_one_job(fleet):
+    for vm in ("vm0", "vm1", "vm0"):
+        assert run(fleet, fleet.submit, vm, "ordinary", job_id(1), [step()]) == 200
+    fleet.clock.advance(5.0)
+    assert len(fleet.book.runs) == 1
+
+
+def test_a_cancelled_job_is_stopped_and_never_starts_again(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=2)], "run_s=30")
+    assert run(fleet, fleet.call, "vm1", "DELETE", f"/ordinary/{job_id(1)}")[0] == 200
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "cancelled"
+    assert [r.how for r in fleet.book.runs] == ["stopped", "stopped"]
+    assert run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=2)]) == 200
+    fleet.clock.advance(5.0)
+    assert len(fleet.book.runs) == 2
+
+
+def test_a_job_fails_after_its_attempts(fleet):
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step()], "run_s=1 fail=9")
+    fleet.clock.advance(6.0)
+    assert run(fleet, fleet.state, "vm0", "patient", job_id(1)) == "failed"
+    assert [r.how for r in fleet.book.runs] == ["failed", "failed"]
+
+
+def test_an_urgent_job_takes_its_quota_from_others(fleet):
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step(count=32)], "run_s=30")
+    assert run(fleet, fleet.submit, "vm0", "urgent", job_id(2), [step(gpu=8, gang=True)]) == 200
+    started = [r for r in fleet.book.runs if r.task.startswith(job_id(2))]
+    assert len(started) == 1
+    stopped = [r for r in fleet.book.runs if r.how == "stopped"]
+    assert len(stopped) == 8 and len({r.executor for r in stopped}) == 1
+
+
+def test_callers_are_told_what_is_wrong(fleet):
+    assert run(fleet, fleet.call, "vm0", "GET", f"/ordinary/{job_id(1)}")[0] == 410
+    assert run(fleet, fleet.call, "vm0", "GET", f"/nowhere/{job_id(1)}")[0] == 404
+    path = f"/ordinary/{job_id(1)}"
+    assert run(fleet, fleet.call, "vm0", "GET", path, None, "key-x")[0] == 401
+    for body in (b"{", b"[]", b'{"spec":"x"}', b'{"spec":"x","steps":[{"count":0}]}'):
+        assert run(fleet, fleet.call, "vm0", "POST", path, body)[0] == 400
+    assert run(fleet, fleet.call, "vm0", "GET", "/ordinary/")[1] == {"waiting": 0}
+
+
+def test_a_worker_entry_of_another_writer_harms_no_neighbour(fleet):
+    fleet.kv.write("servers/i-odd", b"\xff\x00")
+    fleet.kv.write("servers/i-poor", {"service": "plumes", "state": "ready"})
+    fleet.kv.write("servers/i-next", {**fleet.executors[0].registration("sleeping")})
+    fleet.clock.advance(2.0)
+    assert run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4)]) == 200
+    fleet.clock.advance(3.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
--- /dev/null
+++ b/tests/test_platform_recovery.py
@@ -0,0 +1,160 @@
+"""Jobs across the death of VMs, outages of the store and lost orders, on virtual time."""
+
+import pytest
+
+from standins.platform import configuration
+from tests.platform_fleet import PlatformFleet, job_id, step
+from tests.test_platform_path import run
+
+
+@pytest.fixture
+def fleet():
+    return PlatformFleet()
+
+
+def wait_for_owner(fleet, seconds=6.0):
+    for _ in range(int(seconds / 0.1)):
+        if fleet.owner is not None:
+            return
+        fleet.clock.advance(0.1)
+    raise AssertionError("no VM directs the jobs")
+
+
+def test_runs_go_on_when_the_owner_dies(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=6)], "run_s=12")
+    first = fleet.owner
+    fleet.kill(first)
+    wait_for_owner(fleet)
+    assert fleet.owner != first
+    fleet.clock.advance(12.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    assert [r.how for r in fleet.book.runs] == ["done"] * 6
+    fleet.check_promises()
+
+
+def test_ends_listed_to_a_new_owner_do_not_open_their_step_twice(fleet):
+    """An end in a worker's first answer must not queue tasks that run on other workers."""
+    steps = [step(count=4, gpu=8)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=20")
+    short = fleet.book.runs[0]
+    fleet.kill(fleet.owner)
+    short.run_s = fleet.clock.now() - short.started_at + 0.1
+    wait_for_owner(fleet)
+    fleet.clock.advance(20.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    assert [r.how for r in fleet.book.runs] == ["done"] * 4
+    fleet.check_promises()
+
+
+def test_workers_unlisted_in_an_outage_are_asked_by_a_new_owner(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=4")
+    fleet.kv.faults.down = True
+    for vm in list(fleet.vms):
+        fleet.kill(vm)
+    for executor in fleet.executors:
+        fleet.operator.unregister(executor)
+    fleet.clock.advance(3.0)
+    fleet.kv.faults.down = False
+    fleet.start_vm("vm5")
+    wait_for_owner(fleet)
+    fleet.clock.advance(1.0)
+    for executor in fleet.executors:
+        fleet.operator.register(executor)
+    fleet.clock.advance(8.0)
+    assert run(fleet, fleet.state, "vm5", "ordinary", job_id(1)) == "completed"
+    fleet.check_promises()
+
+
+def test_two_urgent_claims_never_wait_for_each_other(fleet):
+    """A claim beyond its quota pledges room; a claim within it must not count on that room."""
+    fleet.operator.configure(configuration(2, quota=16))
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step(count=32)], "run_s=60")
+    gang = [step(count=2, gpu=8, gang=True, est_runtime_ms=20000)]
+    for number in range(2, 6):
+        run(fleet, fleet.submit, "vm0", "urgent", job_id(number), gang, "run_s=2", seconds=0.01)
+    fleet.clock.advance(20.0)
+    for number in range(2, 6):
+        assert run(fleet, fleet.state, "vm0", "urgent", job_id(number)) == "completed"
+
+
+def test_a_lost_answer_of_the_store_loses_no_job(fleet):
+    fleet.kv.faults.lose_writes = 1
+    assert run(fleet, fleet.submit, "vm1", "ordinary", job_id(1), [step()]) == 200
+    fleet.clock.advance(5.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+
+
+def test_a_late_write_of_progress_never_replaces_a_newer_one(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=3)], "run_s=8")
+    fleet.book.runs[0].run_s = 4.0
+    fleet.book.runs[1].run_s = 5.0
+    fleet.kv.faults.late_writes = 1
+    fleet.clock.advance(4.0)
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    fleet.clock.advance(10.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_promises()
+
+
+def test_a_refusal_is_true_while_the_store_is_down(fleet):
+    fleet.kv.faults.down = True
+    assert run(fleet, fleet.submit, "vm1", "ordinary", job_id(1), [step()]) == 503
+    fleet.kv.faults.down = False
+    fleet.clock.advance(5.0)
+    assert fleet.book.runs == []
+
+
+def test_a_vm_that_the_store_turns_away_hands_jobs_in_through_the_owner(fleet):
+    other = next(vm for vm in fleet.vms if vm != fleet.owner)
+    fleet.kv.faults.turned_away.add(other)
+    assert run(fleet, fleet.submit, other, "ordinary", job_id(1), [step()]) == 200
+    fleet.clock.advance(2.0)
+    assert run(fleet, fleet.state, other, "ordinary", job_id(1)) == "completed"
+
+
+def test_a_start_that_is_carried_out_late_runs_nowhere_twice(fleet):
+    slow = fleet.executors[0]
+    fleet.network.late_orders[slow.name] = 3.0
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=3")
+    fleet.clock.advance(3.0)
+    fleet.network.late_orders.clear()
+    fleet.clock.advance(20.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    fleet.check_promises()
+
+
+def test_a_worker_that_restarts_under_its_id_loses_what_it_ran(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=8")
+    fleet.executors[1].crash()
+    fleet.operator.register(fleet.executors[1])
+    fleet.clock.advance(20.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    assert len(fleet.book.runs) == 5
+    fleet.check_promises()
+
+
+def test_a_silent_worker_is_left_alone_until_its_leases_have_lapsed(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=15")
+    silent = fleet.executors[2]
+    fleet.network.cut.add((fleet.owner, silent.entry["addr"]))
+    fleet.clock.advance(40.0)
+    fleet.network.cut.clear()
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    assert [r.how for r in fleet.book.runs if r.executor == silent.name][0] == "lapsed"
+    fleet.check_promises()
+
+
+def test_a_failure_listed_again_to_a_new_owner_counts_once(fleet):
+    """The owner dies after it has stored a failure and before the worker has forgotten it."""
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step()], "run_s=4 fail=1", seconds=2.0)
+    failing = fleet.book.runs[0]
+    executor = next(e for e in fleet.executors if e.name == failing.executor)
+    while failing.how != "failed" or not fleet.kv.keys("lacewingmill/run/"):
+        fleet.clock.advance(0.01)
+    assert not failing.noted
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    assert executor.fence > 0
+    fleet.clock.advance(10.0)
+    assert run(fleet, fleet.state, fleet.owner, "patient", job_id(1)) == "completed"
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,139 @@
+"""Urgent jobs against teams' quotas: claims that meet on one worker, and what they may evict."""
+
+import pytest
+
+from lacewingmill.models import Adjacency, Shape
+from lacewingmill.scheduling.messages import (
+    EvictGang,
+    GangReleased,
+    GangStarted,
+    GuaranteesChanged,
+    Job,
+    JobFinished,
+    JobSubmitted,
+    Needs,
+    Objective,
+    StartGang,
+    TeamQuota,
+    WorkerJoined,
+    WorkerNode,
+)
+from lacewingmill.scheduling.order import OrderRules
+from lacewingmill.scheduling.scheduler import Scheduler
+
+SERVICE = "svc"
+
+
+class Cell:
+    """A scheduler whose evictions end after half a second and whose starts succeed at once."""
+
+    def __init__(self, workers=1, quotas=()):
+        self.scheduler = Scheduler(OrderRules(heal=False))
+        self.now = 0.0
+        self.started = {}
+        self.evicted = []
+        self.releases = []
+        for number in range(workers):
+            node = WorkerNode(f"w{number}", f"r{number // 2}", "d0", 8, 32, 128, frozenset({"a"}))
+            self.feed(WorkerJoined(node))
+        teams = tuple(TeamQuota(SERVICE, team, count) for team, count in quotas)
+        self.feed(GuaranteesChanged((), (), (), teams))
+
+    def feed(self, event):
+        for action in self.scheduler.handle(event, self.now):
+            if isinstance(action, StartGang):
+                self.started[action.job_id] = action.placement
+                self.feed(GangStarted(action.job_id))
+            elif isinstance(action, EvictGang):
+                self.evicted.append(action.job_id)
+                self.releases.append(action.job_id)
+
+    def submit(self, job_id, *, team="other", accelerators=1, members=1, urgent=False, **fields):
+        adjacency = Adjacency.CLUSTER if members > 1 else Adjacency.WORKER
+        expected_s = fields.pop("expected_s", 10.0)
+        shape = Shape("s", accelerators * members, adjacency, 1, 1, expected_s, members)
+        objective = Objective(0 if urgent else 2, self.now + 30, self.now + 90)
+        job = Job(
+            job_id,
+            SERVICE,
+            team,
+            shape,
+            claims=False,
+            idempotent=True,
+            checkpoint=fields.pop("checkpoint", False),
+            submitted_at=self.now,
+            urgent=urgent,
+            needs=Needs(**fields),
+            objective=objective,
+        )
+        self.feed(JobSubmitted(job))
+
+    def release(self):
+        self.now += 0.5
+        releases, self.releases = self.releases, []
+        for job_id in releases:
+            self.started.pop(job_id, None)
+            self.feed(GangReleased(job_id, 0.0))
+
+
+def test_claims_beyond_and_within_quotas_never_wait_for_each_other():
+    cell = Cell(quotas=[("rich", 8)])
+    for number in range(8):
+        cell.submit(f"patient{number}")
+    cell.submit("beyond", team="poor", accelerators=8, urgent=True)
+    cell.submit("within", team="rich", accelerators=8, urgent=True)
+    cell.release()
+    assert {"beyond", "within"} & set(cell.started)
+    cell.release()
+    cell.feed(JobFinished(next(iter({"beyond", "within"} & set(cell.started))), 1.0))
+    cell.release()
+    assert {"beyond", "within"} <= set(cell.started)
+
+
+def test_an_urgent_job_within_its_quota_evicts_what_is_in_its_way():
+    cell = Cell(workers=2, quotas=[("rich", 16)])
+    for number in range(2):
+        cell.submit(f"patient{number}", accelerators=8)
+    cell.now = 100.0
+    cell.submit("claim", team="rich", accelerators=8, members=2, urgent=True, expected_s=0.1)
+    assert sorted(cell.evicted) == ["patient0", "patient1"]
+    cell.release()
+    assert "claim" in cell.started
+
+
+def test_an_urgent_job_beyond_its_quota_destroys_no_more_than_it_needs():
+    cell = Cell(quotas=[("rich", 0)])
+    cell.submit("patient", accelerators=8)
+    cell.now = 100.0
+    cell.submit("claim", team="rich", accelerators=1, urgent=True, expected_s=0.1)
+    assert cell.evicted == []
+
+
+def test_large_gangs_take_whole_workers_that_small_tasks_leave():
+    cell = Cell(workers=4)
+    for number in range(8):
+        cell.submit(f"small{number}")
+    assert len({placement[0].worker for placement in cell.started.values()}) == 1
+    cell.submit("wide", accelerators=8, members=3)
+    assert len(cell.started["wide"]) == 3
+
+
+@pytest.mark.parametrize(("label", "starts"), [("a", True), ("b", False)])
+def test_a_label_that_no_worker_has_keeps_a_job_waiting(label, starts):
+    cell = Cell()
+    cell.submit("job", label=label)
+    assert ("job" in cell.started) is starts
+
+
+def test_tasks_of_a_step_spread_over_workers():
+    cell = Cell(workers=3)
+    for number in range(4):
+        cell.submit(f"job{number}", group="step", max_per_worker=1)
+    assert len(cell.started) == 3
+    assert len({placement[0].worker for placement in cell.started.values()}) == 3
+
+
+def test_data_keeps_its_tasks_on_its_rack():
+    cell = Cell(workers=4)
+    cell.submit("job", rack="r1")
+    assert cell.started["job"][0].worker in ("w2", "w3")
