--- a/src/lacewingmill/jobs/election.py
+++ b/src/lacewingmill/jobs/election.py
@@ -108,9 +108,9 @@
                 self._follow()
             except StoreUnavailable:
                 self._clock.sleep(RETRY_S)
-            except (HistoryLost, LeaseEnded):
-                continue
-            except TransactionConflict:
+            except HistoryLost:
+                self._clock.sleep(RETRY_S)  # the store may go on forgetting for a while
+            except (LeaseEnded, TransactionConflict):
                 continue  # another VM was faster; its record is read next
 
     def hand_over(self) -> None:
@@ -135,7 +135,7 @@
             self._lose("fenced")
 
     def _follow(self) -> None:
-        record = self._store.get(OWNER_KEY)
+        record, revision = self._store.read(OWNER_KEY)
         if record is None:
             self._set_owner(None)
             self._elect()
@@ -145,7 +145,6 @@
         if owner.vm == self._me.vm and self._is_stale(owner):
             self.end_lease(owner)
             return
-        revision = record.revision
         while True:
             changes = self._store.watch(OWNER_KEY, after=revision, wait_s=WATCH_SLICE_S)
             revision = changes.revision
--- a/src/lacewingmill/jobs/ports.py
+++ b/src/lacewingmill/jobs/ports.py
@@ -107,6 +107,12 @@
     def get(self, key: str) -> Record | None:
         """Return a key, or ``None``."""
 
+    def read(self, key: str) -> tuple[Record | None, int]:
+        """Return a key, and a revision from which a watch of it misses nothing.
+
+        The key's own revision will not do: the store may have forgotten changes since then.
+        """
+
     def scan(self, prefix: str) -> tuple[tuple[Record, ...], int]:
         """Return all keys under a prefix, and a revision from which a watch misses nothing."""
 
--- a/src/lacewingmill/jobs/table_follower.py
+++ b/src/lacewingmill/jobs/table_follower.py
@@ -47,6 +47,7 @@
                 revision = self._follow(revision)
             except HistoryLost:
                 revision = 0
+                self._clock.sleep(RETRY_S)  # the store may go on forgetting for a while
             except StoreUnavailable as exc:
                 if not self._away:
                     self._log.emit(LogEvent.STORE_UNAVAILABLE, reason=exc.message)
@@ -61,12 +62,12 @@
 
     def _follow(self, revision: int) -> int:
         if revision == 0:
-            record = self._store.get(self._key)
+            record, revision = self._store.read(self._key)
             if record is None:
                 self._clock.sleep(RETRY_S)
                 return 0
             self._take(record)
-            return record.revision
+            return revision
         changes = self._store.watch(self._key, after=revision, wait_s=WATCH_SLICE_S)
         for change in changes.changes:
             if change.key == self._key and change.record is not None:
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -278,7 +278,7 @@
         quick = self._look or self.idle or not self.opened or self.silent or bool(self._pending)
         self._look = False
         wait_s = 0.0 if quick else min(LONGEST_WAIT_S, self._limits.longest_hold_s / 3)
-        # An extension without an answer may still be carried out; a silent worker's leases must end.
+        # An unanswered extension may yet be carried out; the leases of a silent worker must end.
         until = self._until() if self.opened and self._failures == 0 else 0.0
         self._expires_at = max(self._expires_at, self._lapse_at(until) if until else 0.0)
         sent_at = self._clock.now()
--- a/src/lacewingmill/platform/store.py
+++ b/src/lacewingmill/platform/store.py
@@ -36,6 +36,7 @@
     value: str | None = None
     revision: int = 0
     deleted: bool = False
+    store_revision: int = 0  # of the whole store; only when a single key is read
 
 
 @attrs.frozen
@@ -81,10 +82,15 @@
 
     def get(self, key: str) -> Record | None:
         """Return a key, or ``None``."""
+        return self.read(key)[0]
+
+    def read(self, key: str) -> tuple[Record | None, int]:
+        """Return a key, and a revision from which a watch of it misses nothing."""
         reply = self._call("get", "GET", f"/kv-key?{urlencode({'key': key}, safe='/')}")
         if reply.status == 404:
-            return None
-        return _record(self._decode(reply, _Item))
+            return None, 0
+        item = self._decode(reply, _Item)
+        return _record(item), max(item.revision, item.store_revision)
 
     def scan(self, prefix: str) -> tuple[tuple[Record, ...], int]:
         """Return all keys under a prefix, and the revision of the first page."""
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -6,6 +6,9 @@
 from tests.platform_fleet import PlatformFleet, job_id, step
 from tests.test_platform_path import run
 
+# Two VMs: a watch of the configuration and of the owner each, the owner's polls and renewals.
+CALLS_AT_REST_PER_S = 8
+
 
 @pytest.fixture
 def fleet():
@@ -158,3 +161,16 @@
     assert executor.fence > 0
     fleet.clock.advance(10.0)
     assert run(fleet, fleet.state, fleet.owner, "patient", job_id(1)) == "completed"
+
+
+def test_a_store_that_forgets_its_history_is_not_asked_without_end(fleet):
+    """After it has forgotten, a key's own revision is too old to watch from."""
+    fleet.kv.forget_history()
+    fleet.clock.advance(1.0)
+    calls = sum(fleet.kv.calls.values())
+    fleet.clock.advance(10.0)
+    assert sum(fleet.kv.calls.values()) - calls <= 10 * CALLS_AT_REST_PER_S
+    fleet.operator.configure(configuration(2, keys=("key-b",)))
+    fleet.clock.advance(2.0)
+    answer = run(fleet, fleet.call, "vm0", "GET", f"/ordinary/{job_id(1)}", None, "key-b")
+    assert answer[0] == 410
