--- a/src/lacewingmill/jobs/planning.py
+++ b/src/lacewingmill/jobs/planning.py
@@ -24,7 +24,15 @@
 # An answer is worth nothing after three times the time allowed (the platform's terms).
 WORTHLESS_AFTER = 3.0
 # Jobs take seconds here, so wide gangs get their reservation after seconds.
-JOB_RULES = OrderRules(reserve_after=0.5, reserve_least_s=2.0, heal=False)
+# A stopped task saves its progress and loses the time to restore it; the users count an accelerator
+# as eight cores.
+JOB_RULES = OrderRules(
+    reserve_after=0.5,
+    reserve_least_s=2.0,
+    heal=False,
+    checkpoint_loss_s=0.6,
+    processor_weight=0.125,
+)
 # Attempts are counted by the job's graph; a worker that fails several jobs in a row rests shortly.
 JOB_FAILURE_RULES = FailureRules(
     bad_job_workers=1_000_000,
--- a/src/lacewingmill/scheduling/claims.py
+++ b/src/lacewingmill/scheduling/claims.py
@@ -56,6 +56,7 @@
                 self._state.records,
                 now,
                 self._state.failures.doubtful,
+                self._state.rules,
             )
             if plan is None:
                 self._state.book.put(slot, witness)
--- a/src/lacewingmill/scheduling/order.py
+++ b/src/lacewingmill/scheduling/order.py
@@ -18,6 +18,8 @@
     :param reserve_least_s: and at least so long, in seconds.
     :param learned: whether learned run times replace declared ones.
     :param heal: whether checkpointable gangs are moved to make room for wide ones.
+    :param checkpoint_loss_s: run time that an eviction with a checkpoint loses, in seconds.
+    :param processor_weight: worth of a processor core, in accelerators, when evictions are priced.
     """
 
     width_power: float = 0.5
@@ -27,6 +29,8 @@
     reserve_least_s: float = 60.0
     learned: bool = True
     heal: bool = True
+    checkpoint_loss_s: float = 5.0
+    processor_weight: float = 0.0
 
 
 def priority(rules: OrderRules, expected_s: float, accelerators: int, waited_s: float) -> float:
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -3,7 +3,7 @@
 from lacewingmill.scheduling.cluster import Block, Node
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.placement import PlacementRules, find_block
-from lacewingmill.scheduling.reclaim import Reclaim, ReclaimLimits, plan_reclaim
+from lacewingmill.scheduling.reclaim import Reclaim, ReclaimLimits, plan_reclaim, weight
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.state import CellState
 
@@ -99,14 +99,20 @@
             by_rank=True,
         )
         plan = plan_reclaim(
-            state.cluster, job.shape, state.records, now, state.failures.doubtful, limits
+            state.cluster,
+            job.shape,
+            state.records,
+            now,
+            state.failures.doubtful,
+            state.rules,
+            limits,
         )
         if plan is None or guaranteed:
             return plan
         return plan if plan.cost <= self._worthwhile_loss(job) else None
 
     def _worthwhile_loss(self, job: Job) -> float:
-        return WORTHWHILE_LOSS * self._state.expected_s(job) * max(1, job.shape.accelerators)
+        return WORTHWHILE_LOSS * self._state.expected_s(job) * weight(job.shape, self._state.rules)
 
     def _free_rules(self, record: JobRecord, now: float) -> PlacementRules:
         shape = record.job.shape
--- a/src/lacewingmill/scheduling/reclaim.py
+++ b/src/lacewingmill/scheduling/reclaim.py
@@ -10,12 +10,13 @@
 
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, Node
+from lacewingmill.scheduling.order import OrderRules
 from lacewingmill.scheduling.placement import PlacementRules, find_block
 from lacewingmill.scheduling.records import JobRecord, JobState
 
-__all__ = ["Reclaim", "ReclaimLimits", "eviction_cost", "plan_reclaim"]
+__all__ = ["Reclaim", "ReclaimLimits", "eviction_cost", "plan_reclaim", "weight"]
 
-CHECKPOINT_LOSS_S = 5.0
+PAUSE_S = 1.0
 DOUBT_COST = 1e9
 ACTIVE_STATES = (JobState.STARTING, JobState.RUNNING)
 
@@ -47,11 +48,16 @@
     cost: float
 
 
-def eviction_cost(record: JobRecord, now: float) -> float:
+def eviction_cost(record: JobRecord, now: float, rules: OrderRules) -> float:
     """Return the accelerator-seconds that evicting a job loses."""
     elapsed = max(0.0, now - record.started_at)
-    lost_s = CHECKPOINT_LOSS_S if record.job.checkpoint else elapsed
-    return (min(lost_s, elapsed) + 1.0) * max(1, record.job.shape.accelerators)
+    lost_s = rules.checkpoint_loss_s if record.job.checkpoint else elapsed
+    return (min(lost_s, elapsed) + PAUSE_S) * weight(record.job.shape, rules)
+
+
+def weight(shape: Shape, rules: OrderRules) -> float:
+    """Return what a gang takes, in accelerators."""
+    return max(1.0, shape.accelerators + rules.processor_weight * shape.processors * shape.units)
 
 
 def plan_reclaim(
@@ -60,6 +66,7 @@
     records: dict[str, JobRecord],
     now: float,
     doubtful: Callable[[str], bool],
+    rules: OrderRules,
     limits: ReclaimLimits | None = None,
 ) -> Reclaim | None:
     """Return the cheapest block for a claim, or ``None`` when hard work leaves none.
@@ -67,10 +74,11 @@
     The reservation of the claiming slot itself must be lifted before.
 
     :param doubtful: whether a worker has failed jobs; its accelerators are the last to be claimed.
+    :param rules: how evictions are priced.
     :param limits: what may be evicted and where the claim may go; all that is not hard by default.
     """
     limits = limits or ReclaimLimits()
-    chooser = _VictimChooser(shape, records, now, limits)
+    chooser = _VictimChooser(shape, records, now, rules, limits)
 
     def rank(node: Node, units: int) -> float:
         doubt = DOUBT_COST if doubtful(node.info.worker) else 0.0
@@ -82,14 +90,14 @@
             return most
         return min(chooser.clearable_units(node, most), limits.units(node))
 
-    rules = PlacementRules(units, rank, by_rank=limits.by_rank)
-    block = find_block(cluster, shape, rules, by_free=False)
+    placement = PlacementRules(units, rank, by_rank=limits.by_rank)
+    block = find_block(cluster, shape, placement, by_free=False)
     if block is None:
         return None
     victims: dict[str, None] = {}
     for part in block:
         victims.update(dict.fromkeys(chooser.choose(cluster.nodes[part.worker], part.units)))
-    cost = sum(eviction_cost(records[victim], now) for victim in victims)
+    cost = sum(eviction_cost(records[victim], now, rules) for victim in victims)
     return Reclaim(block, tuple(victims), cost)
 
 
@@ -97,8 +105,14 @@
     """Chooses evictable gangs on single workers."""
 
     def __init__(
-        self, shape: Shape, records: dict[str, JobRecord], now: float, limits: ReclaimLimits
+        self,
+        shape: Shape,
+        records: dict[str, JobRecord],
+        now: float,
+        rules: OrderRules,
+        limits: ReclaimLimits,
     ):
+        self._rules = rules
         self._limits = limits
         self._shape = shape
         self._records = records
@@ -173,7 +187,7 @@
         return not record.hard and record.state in ACTIVE_STATES
 
     def _price(self, job_id: str) -> float:
-        return eviction_cost(self._records[job_id], self._now)
+        return eviction_cost(self._records[job_id], self._now, self._rules)
 
 
 @attrs.define
