Let a gang go on of which a new owner cannot reach a member

Such a gang now goes on, takes the member in when its worker answers, and starts again only after the leases there have lapsed. Ruled out: late orders (both runs had been listed). Two tests; the first fails without the change, the second guards the wait.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -106,6 +106,7 @@
         self._found: dict[str, dict[TaskId, tuple[WorkerLink, RunListed]]] = {}
         self._held_back: set[str] = set()
         self._uncertain: list[WorkerLink] = []
+        self._hidden_until = 0.0
         self._wake = Signal()
         self._stopped = False
         self._mix_version = 0
@@ -313,6 +314,7 @@
             self._clock.sleep(CONTACT_POLL_S)
         silent = [link for link in self._links.values() if not link.opened]
         self._uncertain = silent if hold_back_s > 0 else []
+        self._hidden_until = self._clock.now() + hold_back_s
         self._flush_workers()
         for graph in self.graphs.values():
             self._adopt_job(graph, bool(silent) and hold_back_s > 0)
@@ -347,7 +349,7 @@
         for unit in graph.open_units(self._clock.wall()):
             runs = {t: found[t] for t in map(unit.task, unit.indexes) if t in found}
             if runs:
-                self._adopt_unit(graph, unit, runs)
+                self._adopt_unit(graph, unit, runs, self._hidden_until if hold_back else 0.0)
             elif hold_back:
                 self._held_back.add(unit.unit_id)
                 self._parked[unit.unit_id] = unit
@@ -355,9 +357,19 @@
                 self._queue_unit(graph, unit)
 
     def _adopt_unit(
-        self, graph: JobGraph, unit: Unit, runs: dict[TaskId, tuple[WorkerLink, RunListed]]
+        self,
+        graph: JobGraph,
+        unit: Unit,
+        runs: dict[TaskId, tuple[WorkerLink, RunListed]],
+        hidden_until: float,
     ) -> None:
-        """Go on with a unit that runs; one of which a part is missing is closed."""
+        """Go on with a unit that runs.
+
+        A gang of which a part is missing is closed, unless that part may run unseen: a member that
+        lasts shows that the whole gang was there.
+
+        :param hidden_until: until when workers that do not answer may run a part, in seconds.
+        """
         now = self._clock.now()
         members = {
             task: Member(task, listed.run, link.worker, MemberState.RUNNING, now)
@@ -365,6 +377,9 @@
         }
         run = max(member.run for member in members.values())
         active = ActiveUnit(unit, graph, run, members, now, now)
+        whole = len(members) == len(unit.indexes)
+        if not whole:
+            active.hidden_until = hidden_until
         graph.begun = True
         self._active[unit.unit_id] = active
         scheduler = self._scheduler(graph.submission.service)
@@ -375,8 +390,8 @@
             self._act(action)
         for link, listed in runs.values():
             link.expect(members[listed.task])
-        whole = len(members) == len(unit.indexes)
-        if not whole or any(member.run != run for member in members.values()):
+        mixed = any(member.run != run for member in members.values())
+        if mixed or (not whole and not hidden_until):
             self._close(active, Closing.LOST, "")
 
     def _placement(
@@ -426,6 +441,8 @@
         if self._adoptable(graph, task):
             self._adopt_late(link, graph, listed)
             return
+        if self._unhide(link, listed):
+            return
         self._log.emit(LogEvent.STRAY_STOPPED, worker=link.worker, task=str(task), run=listed.run)
         gevent.spawn(link.stop_stray, task, listed.run)
 
@@ -441,7 +458,23 @@
         self._held_back.discard(unit.unit_id)
         self._parked.pop(unit.unit_id, None)
         self._flush_workers()
-        self._adopt_unit(graph, unit, {listed.task: (link, listed)})
+        self._adopt_unit(graph, unit, {listed.task: (link, listed)}, 0.0)
+
+    def _unhide(self, link: WorkerLink, listed: RunListed) -> bool:
+        """Take a member in that ran unseen; return whether its gang goes on."""
+        active = self._find_active(listed.task)
+        if active is None or active.closing is not None or active.run != listed.run:
+            return False
+        if not active.hidden_until:
+            return False
+        member = Member(
+            listed.task, listed.run, link.worker, MemberState.RUNNING, self._clock.now()
+        )
+        active.members[listed.task] = member
+        link.expect(member)
+        if len(active.members) == len(active.unit.indexes):
+            active.hidden_until = 0.0
+        return True
 
     def _keep_saved(self, graph: JobGraph, task: TaskId, saved: str) -> None:
         """Remember a checkpoint; one of any member serves its whole gang."""
@@ -493,6 +526,11 @@
             if active is not None:
                 self._close(active, Closing.LOST, "")
             return None
+        if graph.state.final:
+            stored = self.shown[graph.submission.job_id] is graph.state
+            if active is not None:
+                self._close(active, Closing.FINISHED, "")
+            return None if stored else self._store_progress(graph)
         if not graph.is_done(unit):
             graph.finish(unit, self._clock.wall())
         if active is not None:
@@ -581,6 +619,9 @@
         unit_id = active.unit.unit_id
         if not active.all_gone or self._active.get(unit_id) is not active:
             return
+        if active.closing is not Closing.FINISHED and self._clock.now() < active.hidden_until:
+            gevent.spawn(self._settle_later, active)
+            return
         del self._active[unit_id]
         service = active.graph.submission.service
         if active.closing is Closing.FINISHED:
@@ -599,6 +640,10 @@
             self._feed(service, GangRejected(unit_id, active.blamed, silent=True))
             self._feed(service, GangReleased(unit_id, 0.0))
 
+    def _settle_later(self, active: ActiveUnit) -> None:
+        self._clock.sleep(active.hidden_until - self._clock.now())
+        self._settle(active)
+
     # Planning
 
     def _tick(self) -> None:
--- a/src/lacewingmill/jobs/units.py
+++ b/src/lacewingmill/jobs/units.py
@@ -61,6 +61,8 @@
     :param blamed: the worker because of which it closes; empty for none.
     :param ordered_at: when its start was ordered, in seconds.
     :param started_at: when all members ran, in seconds; 0 before.
+    :param hidden_until: until then a member may run on a worker that has not answered this owner,
+        in seconds; 0 when every member is known.
     """
 
     unit: Unit
@@ -72,6 +74,7 @@
     closing: Closing | None = None
     blamed: str = ""
     failure_counted: bool = False
+    hidden_until: float = 0.0
 
     @property
     def step(self) -> Step:
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -141,7 +141,7 @@
 
     def crash(self) -> None:
         """Lose everything, as by a crash and a restart under the same id."""
-        self._advance()
+        self.advance()
         for run in self._running.values():
             run.ended_at, run.how = self._clock.now(), "crashed"
         self.__init__(self.name, self.entry, self._clock, self._book)
@@ -152,7 +152,7 @@
         if headers.get("X-Expect-Instance", self.name) != self.name:
             return 421, {}
         req = json.loads(body)
-        self._advance()
+        self.advance()
         if path == "/hold":
             return self._hold(req)
         if req.get("fence", 0) < self.fence:
@@ -242,7 +242,7 @@
         ends_at = self._clock.now() + min(LONGEST_WAIT_S, req.get("wait_ms", 0) / 1000)
         while not self._ended and self._clock.now() < ends_at:
             self._clock.wait(self._changed, min(ends_at, self._next_event()) - self._clock.now())
-            self._advance()
+            self.advance()
         return 200, self._told(
             born=self.born,
             running=[
@@ -271,7 +271,8 @@
                 times.append(run.works_from + run.run_s - run.done_before)
         return max(min(times), self._clock.now() + 0.005)
 
-    def _advance(self) -> None:
+    def advance(self) -> None:
+        """Let time take effect: ends, lapses and checkpoints up to now."""
         now = self._clock.now()
         lapse_at = self._born_at + self._until / 1000
         for run in list(self._running.values()):
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -95,6 +95,8 @@
 
     def check_promises(self):
         """No task ran twice at the same time, or again after its end was noted."""
+        for executor in self.executors:
+            executor.advance()
         assert [(a.task, a.number, b.number) for a, b in self.book.overlaps()] == []
         assert [(run.task, run.number) for run in self.book.repeated()] == []
 
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -174,3 +174,35 @@
     fleet.clock.advance(2.0)
     answer = run(fleet, fleet.call, "vm0", "GET", f"/ordinary/{job_id(1)}", None, "key-b")
     assert answer[0] == 410
+
+
+def test_a_gang_goes_on_though_a_new_owner_cannot_reach_one_member(fleet):
+    gang = [step(count=2, gpu=8, gang=True)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=10")
+    hidden = next(e for e in fleet.executors if e.name == fleet.book.runs[1].executor)
+    other = next(vm for vm in fleet.vms if vm != fleet.owner)
+    fleet.network.cut.add((other, hidden.entry["addr"]))
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    fleet.clock.advance(1.0)
+    fleet.network.cut.clear()
+    fleet.clock.advance(25.0)
+    assert run(fleet, fleet.state, other, "ordinary", job_id(1)) == "completed"
+    assert [r.how for r in fleet.book.runs] == ["done", "done"]
+    fleet.check_promises()
+
+
+def test_a_gang_with_an_unreachable_member_starts_again_only_after_its_leases(fleet):
+    gang = [step(count=2, gpu=8, gang=True)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=10")
+    hidden = next(e for e in fleet.executors if e.name == fleet.book.runs[1].executor)
+    seen = next(e for e in fleet.executors if e.name == fleet.book.runs[0].executor)
+    other = next(vm for vm in fleet.vms if vm != fleet.owner)
+    fleet.network.cut.add((other, hidden.entry["addr"]))
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    seen.crash()
+    fleet.operator.register(seen)
+    fleet.clock.advance(40.0)
+    assert run(fleet, fleet.state, other, "ordinary", job_id(1)) == "completed"
+    fleet.check_promises()
