--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -194,7 +194,12 @@
                 self.start(record, block, now)
             elif reservation is None:
                 reservation = plan_reservation(
-                    self.cluster, record.job, self.records, self.declared, now
+                    self.cluster,
+                    record.job,
+                    self.records,
+                    self.declared,
+                    now,
+                    lambda node: node.info.accelerators,
                 )
 
     def _find(self, record: JobRecord, reservation: Reservation | None, now: float):
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -41,14 +41,14 @@
             del self._state.queue[record.job.job_id]
             self._state.start(record, block, now)
 
-    def _priority(self, record: JobRecord, now: float) -> tuple[float, ...]:
+    def _priority(self, record: JobRecord, now: float) -> tuple[float | str, ...]:
         job = record.job
         expected = max(self._state.expected_s(job) - record.done_s, 0.0)
         if job.objective is not None:
             return objective_key(job.objective, expected, now)
         waited = now - job.submitted_at
         key = priority(self._state.rules, expected, job.shape.accelerators, waited)
-        return (key, job.submitted_at)
+        return (key, job.submitted_at, job.job_id)
 
     def _find(self, record: JobRecord, now: float) -> Block | None:
         block = find_block(self._state.cluster, record.job.shape, self._rules(record, now))
@@ -106,7 +106,12 @@
             return
         oldest = min(starving, key=lambda record: record.job.submitted_at)
         self._state.reservation = plan_reservation(
-            self._state.cluster, oldest.job, self._state.records, self._state.run_times, now
+            self._state.cluster,
+            oldest.job,
+            self._state.records,
+            self._state.run_times,
+            now,
+            lambda node: self._state.needs_units(oldest.job, node, now),
         )
 
     def _held_off(self, record: JobRecord, worker: str, end: float) -> bool:
--- a/src/lacewingmill/scheduling/reservation.py
+++ b/src/lacewingmill/scheduling/reservation.py
@@ -1,5 +1,7 @@
 """A reservation for a wide gang that has waited long: backfill may not delay it."""
 
+from collections.abc import Callable
+
 import attrs
 
 from lacewingmill.models import Adjacency
@@ -30,14 +32,23 @@
     records: dict[str, JobRecord],
     run_times: RunTimes,
     now: float,
+    units: Callable[[Node], int],
 ) -> Reservation | None:
-    """Reserve the block that is expected to be free first."""
+    """Reserve the block that is expected to be free first.
+
+    A job with an objective gets no more workers of the block than it needs, so that others go on
+    beside it.
+
+    :param units: most members that a worker may take by what the job needs of workers.
+    """
     shape = job.shape
     best: Reservation | None = None
     for nodes in _blocks(cluster, job):
-        usable = [node for node in nodes if cluster.usable(node)]
-        if sum(node.capacity_units(shape) for node in usable) < shape.units:
+        usable = [node for node in nodes if cluster.usable(node) and units(node)]
+        if sum(_most(node, job, units) for node in usable) < shape.units:
             continue
+        if job.objective is not None:
+            usable = _soonest(usable, job, records, run_times, now, units)
         start_at = _free_at(usable, job, records, run_times, now)
         if best is None or start_at < best.start_at:
             workers = frozenset(node.info.worker for node in usable)
@@ -45,6 +56,43 @@
     return best
 
 
+def _most(node: Node, job: Job, units: Callable[[Node], int]) -> int:
+    return min(node.capacity_units(job.shape), units(node))
+
+
+def _soonest(
+    nodes: list[Node],
+    job: Job,
+    records: dict[str, JobRecord],
+    run_times: RunTimes,
+    now: float,
+    units: Callable[[Node], int],
+) -> list[Node]:
+    """Return the workers that are expected to be empty first and hold the gang together."""
+    ranked = sorted(
+        nodes,
+        key=lambda node: max(
+            (now + _left_s(records[job_id], run_times, now) for job_id in node.members),
+            default=now,
+        ),
+    )
+    chosen = []
+    missing = job.shape.units
+    for node in ranked:
+        if missing <= 0:
+            break
+        chosen.append(node)
+        missing -= _most(node, job, units)
+    return chosen
+
+
+def _left_s(record: JobRecord, run_times: RunTimes, now: float) -> float:
+    """Return how long a job is expected to run still, in seconds."""
+    job = record.job
+    elapsed = now - record.started_at + record.done_s
+    return run_times.remaining(job.service, job.shape.name, job.shape.expected_s, elapsed)
+
+
 def _blocks(cluster: Cluster, job: Job) -> list[list[Node]]:
     if job.shape.adjacency is Adjacency.WORKER:
         return [[node] for node in cluster.nodes.values()]
@@ -65,14 +113,7 @@
     ends = []
     for node in nodes:
         for job_id, units in node.members.items():
-            other = records[job_id]
-            left = run_times.remaining(
-                other.job.service,
-                other.job.shape.name,
-                other.job.shape.expected_s,
-                now - other.started_at + other.done_s,
-            )
-            ends.append((now + left, units))
+            ends.append((now + _left_s(records[job_id], run_times, now), units))
     for end, units in sorted(ends):
         missing -= units
         if missing <= 0:
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -19,6 +19,7 @@
 TIGHTNESS_RANK = 0.05
 DOUBTFUL_RANK = 100.0
 REMOTE_RANK = 30.0
+UNLIMITED_UNITS = 1 << 30
 HELD_STATES = (JobState.STARTING, JobState.RUNNING, JobState.EVICTING)
 
 
@@ -240,7 +241,7 @@
         if needs.rack and needs.rack != node.info.rack and not self.out_of_patience(job, now):
             return 0
         if not needs.max_per_worker:
-            return job.shape.units
+            return UNLIMITED_UNITS
         present = sum(
             units
             for job_id, units in node.members.items()
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -137,3 +137,23 @@
     cell = Cell(workers=4)
     cell.submit("job", rack="r1")
     assert cell.started["job"][0].worker in ("w2", "w3")
+
+
+def test_a_gang_that_cannot_be_placed_holds_off_no_more_workers_than_it_needs():
+    cell = Cell(workers=4)
+    for number in range(3):
+        cell.submit(f"blocker{number}", group="spread", max_per_worker=1)
+    cell.submit("wide", accelerators=8, members=2)
+    assert "wide" not in cell.started
+    cell.now = 100.0
+    for number in range(14):
+        cell.submit(f"small{number}", expected_s=1000.0)
+    assert all(f"small{number}" in cell.started for number in range(14))
+
+
+def test_a_gang_that_no_worker_suits_holds_off_nothing():
+    cell = Cell(workers=2)
+    cell.submit("odd", accelerators=4, members=2, label="none")
+    cell.now = 100.0
+    cell.submit("small", expected_s=1000.0)
+    assert "small" in cell.started
