Leave a quarter of the workers empty for urgent gangs while other work has time

Cause: urgent jobs answered late though they started within 1.5 s: a job of one or two seconds loses its objective to the 0.4 to 0.9 s that stopping another task takes. Work that is not urgent and would still be answered in time leaves the last quarter of the workers empty; it takes them when it is nearly due. Two tests named for the pattern.

--- a/src/lacewingmill/jobs/planning.py
+++ b/src/lacewingmill/jobs/planning.py
@@ -32,6 +32,7 @@
     heal=False,
     checkpoint_loss_s=0.6,
     processor_weight=0.125,
+    headroom=0.25,
 )
 # Attempts are counted by the job's graph; a worker that fails several jobs in a row rests shortly.
 JOB_FAILURE_RULES = FailureRules(
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -3,7 +3,7 @@
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, Node
 from lacewingmill.scheduling.messages import Job, Needs
-from lacewingmill.scheduling.order import objective_key, priority
+from lacewingmill.scheduling.order import has_time, objective_key, priority
 from lacewingmill.scheduling.placement import PlacementRules, find_block
 from lacewingmill.scheduling.records import JobRecord
 from lacewingmill.scheduling.reservation import plan_reservation
@@ -63,6 +63,7 @@
         avoid = self._state.failures.failed_on(job.job_id)
         expected = self._state.expected_s(job) - record.done_s
         cautious = self._state.cautious(job, now)
+        leaves_empty = self._leaves_empty(job, expected, now)
 
         def units(node: Node) -> int:
             worker = node.info.worker
@@ -72,6 +73,8 @@
                 return 0
             if self._held_off(record, worker, now + expected):
                 return 0
+            if leaves_empty and not node.members:
+                return 0
             free = min(node.free_units(job.shape), self._state.needs_units(job, node, now))
             if job.evictable:
                 return free
@@ -80,6 +83,19 @@
 
         return PlacementRules(units, self._state.ranking(job), by_rank=job.objective is not None)
 
+    def _leaves_empty(self, job: Job, expected_s: float, now: float) -> bool:
+        """Whether a job has time to wait, and so leaves the last empty workers to urgent jobs."""
+        share = self._state.rules.headroom
+        if not share or job.urgent or job.objective is None:
+            return False
+        if not has_time(job.objective, expected_s, now):
+            return False
+        cluster = self._state.cluster
+        empty = sum(1 for node in cluster.nodes.values() if not node.members)
+        whole_worker = cluster.total_accelerators / max(1, len(cluster.nodes))
+        taken = max(1.0, job.shape.accelerators / max(1.0, whole_worker))
+        return empty - taken < share * len(cluster.nodes)
+
     def _open_to(self, job: Job, worker: str, node: Node) -> bool:
         """A worker on probation takes one evictable job at a time."""
         if not self._state.failures.probing(worker):
--- a/src/lacewingmill/scheduling/order.py
+++ b/src/lacewingmill/scheduling/order.py
@@ -4,7 +4,10 @@
 
 from lacewingmill.scheduling.messages import Objective
 
-__all__ = ["OrderRules", "objective_key", "priority"]
+__all__ = ["OrderRules", "has_time", "objective_key", "priority"]
+
+# Declared run times are off by about half, so a job has time only beyond that.
+SPARE_SHARE = 0.5
 
 
 @attrs.frozen
@@ -19,6 +22,7 @@
     :param learned: whether learned run times replace declared ones.
     :param heal: whether checkpointable gangs are moved to make room for wide ones.
     :param checkpoint_loss_s: run time that an eviction with a checkpoint loses, in seconds.
+    :param headroom: share of the workers that work with time to spare leaves empty for urgent jobs.
     :param processor_weight: worth of a processor core, in accelerators, when evictions are priced.
     """
 
@@ -31,6 +35,7 @@
     heal: bool = True
     checkpoint_loss_s: float = 5.0
     processor_weight: float = 0.0
+    headroom: float = 0.0
 
 
 def priority(rules: OrderRules, expected_s: float, accelerators: int, waited_s: float) -> float:
@@ -43,6 +48,14 @@
     return work / (1.0 + waited_s / patience)
 
 
+def has_time(objective: Objective, expected_s: float, now: float) -> bool:
+    """Whether a job that starts a little later is still answered when it is due.
+
+    :param expected_s: expected remaining run time, in seconds.
+    """
+    return now + expected_s * (1.0 + SPARE_SHARE) < objective.due_at
+
+
 def objective_key(objective: Objective, expected_s: float, now: float) -> tuple[float, ...]:
     """Return the key of a waiting job with an objective; the lowest goes first.
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -15,6 +15,7 @@
     Objective,
     StartGang,
     TeamQuota,
+    Tick,
     WorkerJoined,
     WorkerNode,
 )
@@ -27,8 +28,8 @@
 class Cell:
     """A scheduler whose evictions end after half a second and whose starts succeed at once."""
 
-    def __init__(self, workers=1, quotas=()):
-        self.scheduler = Scheduler(OrderRules(heal=False))
+    def __init__(self, workers=1, quotas=(), rules=None):
+        self.scheduler = Scheduler(rules or OrderRules(heal=False))
         self.now = 0.0
         self.started = {}
         self.evicted = []
@@ -157,3 +158,25 @@
     cell.now = 100.0
     cell.submit("small", expected_s=1000.0)
     assert "small" in cell.started
+
+
+def test_a_burst_of_urgent_gangs_finds_workers_that_patient_work_left_empty():
+    rules = OrderRules(heal=False, headroom=0.25)
+    cell = Cell(workers=8, rules=rules)
+    for number in range(64):
+        cell.submit(f"patient{number}")
+    assert sum(1 for node in cell.scheduler.cluster.nodes.values() if not node.members) == 2
+    cell.submit("urgent", accelerators=8, members=2, urgent=True)
+    assert "urgent" in cell.started
+    assert cell.evicted == []
+
+
+def test_patient_work_that_is_nearly_due_takes_the_last_empty_workers():
+    rules = OrderRules(heal=False, headroom=0.25)
+    cell = Cell(workers=4, rules=rules)
+    for number in range(32):
+        cell.submit(f"patient{number}")
+    assert len(cell.started) == 24
+    cell.now = 25.0  # due at 30 s, with 10 s to run
+    cell.feed(Tick())
+    assert len(cell.started) == 32
