--- a/src/lacewingmill/platform/orders.py
+++ b/src/lacewingmill/platform/orders.py
@@ -25,6 +25,8 @@
 EXPECT_WORKER = "X-Expect-Instance"
 OTHER_WORKER = 421
 LISTED_FIELDS = 4  # of an entry of ``running``; a fifth tells the load
+RunningRow = tuple[str, int, str | None, float]  # task, run, saved, percent
+EndedRow = tuple[int, str, int, str, str | None]  # number, task, run, how, saved
 REASONS = {
     "old": StartOutcome.SUPERSEDED,
     "late": StartOutcome.LATE,
@@ -102,7 +104,7 @@
         lists = _decode(reply, _Lists, entry)
         try:
             return _report(lists, entry)
-        except (TypeError, ValueError, IndexError) as exc:
+        except (msgspec.ValidationError, ValueError) as exc:
             raise TransportError(
                 f"lists cannot be read: {exc}", step="hold", peer=entry.address
             ) from exc
@@ -162,11 +164,12 @@
 def _report(lists: _Lists, entry: WorkerEntry) -> HoldReport:
     running = []
     for row in lists.running:
-        task, run, saved, percent = row[:LISTED_FIELDS]
-        running.append(RunListed(parse_task(task), int(run), saved or "", float(percent)))
+        task, run, saved, percent = msgspec.convert(row[:LISTED_FIELDS], RunningRow)
+        running.append(RunListed(parse_task(task), run, saved or "", percent))
     ended = []
-    for number, task, run, how, saved in lists.ended:
-        ended.append(RunEnded(int(number), parse_task(task), int(run), RunEnd(how), saved or ""))
+    for row in lists.ended:
+        number, task, run, how, saved = msgspec.convert(row, EndedRow)
+        ended.append(RunEnded(number, parse_task(task), run, RunEnd(how), saved or ""))
     return HoldReport(
         lists.clock_ms / 1000,
         lists.born or entry.incarnation,
