Logs that never block and stay bounded, meters of jobs, and a command that tells an id's story

Lines of one event are bounded a second (failures four times higher), what is dropped is counted, and a reader that stops reading fills a bounded queue only. Meters for jobs, runs, orders, evictions and five times; gauges for ownership, backlog and the configuration's age. 'lacewingmill story ID' reads captured logs. Three tests go from the id of a failed request to its cause on the emulated platform.

--- a/src/lacewingmill/adapters/metrics.py
+++ b/src/lacewingmill/adapters/metrics.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.metrics import CallbackOptions, Counter, Histogram, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import REGISTRY, generate_latest
 
+from lacewingmill.ports import Meter
+
 __all__ = ["Metrics"]
 
 SECONDS_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60, 300, 1800)
@@ -26,6 +28,8 @@
             shutdown_on_exit=False,
         )
         self._meter = provider.get_meter("lacewingmill")
+        self._counters: dict[Meter, Counter] = {}
+        self._histograms: dict[Meter, Histogram] = {}
         self._requests = self._meter.create_counter(
             "lacewingmill_requests", description="Requests of callers by route and outcome"
         )
@@ -49,6 +53,27 @@
         """Count a call to the key-value store."""
         self._store_calls.add(1, {"kind": kind, "outcome": outcome})
 
+    def count(self, meter: Meter, **labels: str) -> None:
+        """Count one."""
+        counter = self._counters.get(meter)
+        if counter is None:
+            counter = self._counters[meter] = self._meter.create_counter(
+                meter.instrument, description=meter.meaning
+            )
+        counter.add(1, labels)
+
+    def observe(self, meter: Meter, seconds: float) -> None:
+        """Record a time, in seconds."""
+        histogram = self._histograms.get(meter)
+        if histogram is None:
+            histogram = self._histograms[meter] = self._meter.create_histogram(
+                meter.instrument,
+                unit="s",
+                description=meter.meaning,
+                explicit_bucket_boundaries_advisory=SECONDS_BUCKETS,
+            )
+        histogram.record(seconds)
+
     def watch(self, name: str, description: str, read: Callable[[], float]) -> None:
         """Add a gauge that is read when the metrics are."""
 
--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -27,6 +27,8 @@
 __all__ = ["ExitCode", "main"]
 
 
+# How long the last log lines may take to be read at a planned stop, in seconds.
+LAST_LINES_S = 0.3
 SETTINGS_VARIABLE = "LACEWINGMILL_SETTINGS"
 
 
@@ -93,6 +95,8 @@
             "--hours", type=int, default=24, help="how far back to look, at most 168"
         )
     audit = _add(commands, "audit", _audit, "list the accepted configurations")
+    story = _add(commands, "story", _story, "tell what captured logs hold of a job or worker")
+    story.add_argument("id", help="id of a job, unit or worker; logs are read on standard input")
     _add(commands, "version", _version, "print the version")
     for command in (publish, status, explain, history, audit):
         command.add_argument(
@@ -122,6 +126,7 @@
 
 def _serve_jobs(args: argparse.Namespace) -> int:
     gevent.config.resolver = "block"  # addresses are IP numbers; other resolvers start threads
+    from lacewingmill.adapters.log_writer import standard_output
     from lacewingmill.events import configure_logging
     from lacewingmill.job_composition import build_job_vm
     from lacewingmill.platform import load_platform_settings
@@ -130,8 +135,11 @@
         raise SettingsError(
             f"neither --settings nor ${SETTINGS_VARIABLE} is given", step="settings"
         )
-    configure_logging(sys.stdout)
-    return _run_vm(build_job_vm(load_platform_settings(Path(args.settings))))
+    writer = standard_output()
+    configure_logging(writer)
+    code = _run_vm(build_job_vm(load_platform_settings(Path(args.settings))))
+    writer.close(LAST_LINES_S)
+    return code
 
 
 def _run_vm(vm) -> int:
@@ -254,6 +262,18 @@
     return ExitCode.OK
 
 
+def _story(args: argparse.Namespace) -> int:
+    from lacewingmill.log_story import tell_story
+
+    told = False
+    for line in tell_story(sys.stdin, args.id):
+        told = True
+        print(line)
+    if not told:
+        print(f"lacewingmill: no log line concerns {args.id}", file=sys.stderr)
+    return ExitCode.OK if told else ExitCode.FAILED
+
+
 def _version(args: argparse.Namespace) -> int:
     print(f"lacewingmill {__version__}")
     return ExitCode.OK
--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -2,6 +2,7 @@
 
 import enum
 import sys
+import time
 from collections.abc import Callable
 from typing import Any, TextIO
 
@@ -18,6 +19,7 @@
     VM_STOPPED = (102, "info", "The entry VM stopped with nothing in flight.")
     NOT_READY = (103, "warning", "The VM turned not ready; the reason is given.")
     READY = (104, "info", "The VM turned ready.")
+    LINES_DROPPED = (105, "warning", "Lines of events that came too often were dropped; counted.")
     REQUEST_CRASHED = (110, "error", "A request raised an unexpected error; others go on.")
     CATALOGUE_IN_FORCE = (200, "info", "A configuration revision is in force on this VM.")
     CATALOGUE_UNREADABLE = (201, "error", "A published document cannot be read; the old one stays.")
@@ -74,6 +76,12 @@
         self.meaning = meaning
 
 
+# Lines of one event in a second; those of failed requests get four times as many, so that they are
+# dropped last. At the heaviest load of the users' sites an event comes about 40 times a second.
+LINES_PER_S = 200
+FAILURE_FACTOR = 4
+FAILURE_LEVELS = ("warning", "error")
+
 EventListener = Callable[[LogEvent, dict[str, Any]], None]
 
 
@@ -87,13 +95,36 @@
     def __init__(self, vm: str, listener: EventListener | None = None):
         self._logger = structlog.get_logger().bind(vm=vm)
         self._listener = listener
+        self._second = 0
+        self._written: dict[LogEvent, int] = {}
+        self._dropped: dict[str, int] = {}
 
     def emit(self, event: LogEvent, **fields: Any) -> None:
-        """Write one event with its fields."""
-        write = getattr(self._logger, event.level)
-        write(event.name.lower(), number=event.number, **fields)
+        """Write one event with its fields, unless it has come too often in this second."""
         if self._listener is not None:
             self._listener(event, fields)
+        self._begin_second(int(time.monotonic()))
+        written = self._written.get(event, 0) + 1
+        self._written[event] = written
+        factor = FAILURE_FACTOR if event.level in FAILURE_LEVELS else 1
+        if written > LINES_PER_S * factor:
+            name = event.name.lower()
+            self._dropped[name] = self._dropped.get(name, 0) + 1
+            return
+        self._write(event, fields)
+
+    def _begin_second(self, second: int) -> None:
+        if second == self._second:
+            return
+        self._second = second
+        self._written.clear()
+        if self._dropped:
+            dropped, self._dropped = self._dropped, {}
+            self._write(LogEvent.LINES_DROPPED, {"dropped": dropped})
+
+    def _write(self, event: LogEvent, fields: dict[str, Any]) -> None:
+        write = getattr(self._logger, event.level)
+        write(event.name.lower(), number=event.number, **fields)
 
 
 def configure_logging(stream: TextIO | None = None) -> None:
--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -12,7 +12,7 @@
 from lacewingmill.adapters.metrics import Metrics
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.jobs.desk import DeskParts, JobDesk
-from lacewingmill.jobs.director import DirectorParts
+from lacewingmill.jobs.director import Director, DirectorParts
 from lacewingmill.jobs.directory import VmDirectory
 from lacewingmill.jobs.election import JobElector, JobOwner
 from lacewingmill.jobs.peers import OwnerCalls
@@ -63,7 +63,13 @@
     relay = StoreRelay(direct, lambda: store.reached)
     follower = TableFollower(store, clock, log, CONFIGURATION_KEY, decode_configuration)
     parts = DirectorParts(
-        store, HttpWorkerOrders(caller), clock, log, settings.limits, lambda: follower.table
+        store,
+        HttpWorkerOrders(caller),
+        clock,
+        log,
+        metrics,
+        settings.limits,
+        lambda: follower.table,
     )
 
     def roster_of(changed: Callable[[dict[str, WorkerEntry]], None]) -> Roster:
@@ -78,6 +84,7 @@
             OwnerCalls(caller),
             clock,
             log,
+            metrics,
             lambda: follower.table,
             lambda: vm.director,
             lambda: elector.owner,
@@ -85,6 +92,8 @@
         )
     )
 
+    _watch(metrics, vm, follower, clock)
+
     def crashed(exc: BaseException) -> None:
         log.emit(LogEvent.REQUEST_CRASHED, error=repr(exc))
 
@@ -102,3 +111,36 @@
         outside.serve(settings.metrics, show_metrics, crashed),
     )
     return vm
+
+
+def _watch(metrics: Metrics, vm: JobVm, follower: TableFollower, clock: Clock) -> None:
+    """Add the gauges of a VM."""
+
+    def of_director(read: Callable[[Director], float]) -> Callable[[], float]:
+        return lambda: float(read(vm.director)) if vm.director is not None else 0.0
+
+    metrics.watch(
+        "lacewingmill_directs_jobs",
+        "1 while this VM directs the jobs",
+        of_director(lambda director: director.open),
+    )
+    metrics.watch(
+        "lacewingmill_units_waiting",
+        "Units that wait for workers, at the VM that directs",
+        of_director(lambda director: director.backlog),
+    )
+    metrics.watch(
+        "lacewingmill_units_running",
+        "Units that hold workers, at the VM that directs",
+        of_director(lambda director: director.running),
+    )
+    metrics.watch(
+        "lacewingmill_configuration_version",
+        "Version of the configuration in force at this VM",
+        lambda: float(follower.table.version) if follower.table is not None else 0.0,
+    )
+    metrics.watch(
+        "lacewingmill_configuration_age_seconds",
+        "Time since this VM last knew that its configuration was the newest",
+        lambda: clock.now() - follower.heard_at,
+    )
--- a/src/lacewingmill/jobs/desk.py
+++ b/src/lacewingmill/jobs/desk.py
@@ -35,7 +35,7 @@
     decode_ask,
 )
 from lacewingmill.jobs.ports import ItemRevision, Put, Transaction, TransactionStore
-from lacewingmill.ports import Clock
+from lacewingmill.ports import Clock, Meter, Meters
 
 __all__ = ["DeskParts", "JobDesk"]
 
@@ -63,6 +63,7 @@
     calls: OwnerCalls
     clock: Clock
     log: EventLog
+    meters: Meters
     table: Callable[[], QueueTable | None]
     director: Callable[[], Director | None]
     owner: Callable[[], JobOwner | None]
@@ -83,6 +84,7 @@
         self._clock = parts.clock
         self._log = parts.log
         self._store = parts.store
+        self._meters = parts.meters
         self._counts: dict[str, _Count] = {}
 
     @property
@@ -98,12 +100,14 @@
         :raises OutcomeUnknown: when it may have been stored, or may yet be.
         """
         submission = attrs.evolve(submission, accepted_at=self._clock.wall())
-        end = self._clock.now() + deadline_s * DEADLINE_SHARE
+        began_at = self._clock.now()
+        end = began_at + deadline_s * DEADLINE_SHARE
         uncertain = False
         refusals = 0
         while True:
             try:
                 self._accepted(submission, self._create(submission))
+                self._meters.observe(Meter.STORED, self._clock.now() - began_at)
                 return
             except TransactionConflict:
                 self._log.emit(LogEvent.JOB_ACCEPTED, job=submission.job_id, repeated=True)
@@ -115,6 +119,7 @@
             except StoreUnavailable:
                 uncertain = True
             if self._clock.now() > end:
+                self._meters.count(Meter.JOBS, outcome="doubtful", cause="store")
                 self._log.emit(LogEvent.JOB_DOUBTFUL, job=submission.job_id)
                 raise OutcomeUnknown("whether the job was stored is not known", step="submit")
             self._clock.sleep(RETRY_S)
@@ -240,6 +245,7 @@
         )
 
     def _accepted(self, submission: Submission, revision: int) -> None:
+        self._meters.count(Meter.JOBS, outcome="accepted", cause="")
         self._log.emit(
             LogEvent.JOB_ACCEPTED,
             job=submission.job_id,
@@ -256,6 +262,7 @@
             return  # the owner finds the job in the store within a second
 
     def _refuse(self, submission: Submission, reason: str) -> None:
+        self._meters.count(Meter.JOBS, outcome="refused", cause="store")
         self._log.emit(LogEvent.JOB_NOT_ACCEPTED, job=submission.job_id, reason=reason)
         raise JobRefused(f"the job was not stored: {reason}", retry_s=STORE_AWAY_RETRY_S)
 
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -27,7 +27,7 @@
 from lacewingmill.jobs.settings import PlatformLimits
 from lacewingmill.jobs.units import ActiveUnit, Closing, Member, MemberState
 from lacewingmill.jobs.worker_link import StartResult, WorkerLink
-from lacewingmill.ports import Clock
+from lacewingmill.ports import Clock, Meter, Meters
 from lacewingmill.scheduling.messages import (
     Action,
     Event,
@@ -75,6 +75,7 @@
     orders: WorkerOrders
     clock: Clock
     log: EventLog
+    meters: Meters
     limits: PlatformLimits
     table: Callable[[], QueueTable | None]
 
@@ -90,6 +91,9 @@
         self._parts = parts
         self._clock = parts.clock
         self._log = parts.log
+        self._meters = parts.meters
+        self._began_at = parts.clock.now()
+        self._ended_at: dict[str, float] = {}
         self.tenure = tenure
         self._deposed = deposed
         self.open = False
@@ -180,6 +184,16 @@
             if graph.submission.queue == queue and not graph.begun and not graph.state.final
         )
 
+    @property
+    def backlog(self) -> int:
+        """Number of units that wait."""
+        return sum(scheduler.queued for scheduler in self._schedulers.values())
+
+    @property
+    def running(self) -> int:
+        """Number of units that hold workers."""
+        return len(self._active)
+
     def forget(self, job_id: str) -> None:
         """Forget a job whose keys are gone from the store."""
         self.graphs.pop(job_id, None)
@@ -320,6 +334,7 @@
             self._adopt_job(graph, bool(silent) and hold_back_s > 0)
         self._found.clear()
         self.open = True
+        self._meters.observe(Meter.TAKEOVER, self._clock.now() - self._began_at)
         self._log.emit(
             LogEvent.JOBS_RECOVERED,
             jobs=len(self.graphs),
@@ -496,6 +511,7 @@
             link.drop(member)
         else:
             active = None
+        self._meters.count(Meter.RUNS, end=ended.end.value)
         self._log.emit(
             LogEvent.RUN_ENDED,
             worker=link.worker,
@@ -569,6 +585,7 @@
     def _end_job(self, graph: JobGraph) -> Signal:
         """Store a final state and give back all that the job holds."""
         job_id = graph.submission.job_id
+        self._ended_at.setdefault(job_id, self._clock.now())
         self._log.emit(LogEvent.JOB_ENDED, job=job_id, state=graph.state.value)
         signal = self._store_progress(graph)
         for active in [a for a in self._active.values() if a.graph is graph]:
@@ -728,6 +745,7 @@
         if active is None:
             self._feed_all(GangReleased(action.job_id, 0.0))
             return
+        self._meters.count(Meter.EVICTIONS)
         self._log.emit(LogEvent.UNIT_EVICTED, unit=action.job_id, for_unit=action.for_job)
         self._close(active, Closing.EVICTED, "")
 
@@ -786,9 +804,12 @@
             return
         graph = active.graph
         saved = graph.saved.get(active.unit.task(active.unit.indexes[0]), "")
+        sent_at = self._clock.now()
         result = link.start(member, graph.submission.spec, saved)
+        self._meters.count(Meter.ORDERS, outcome=result.value)
+        self._meters.observe(Meter.ORDER, self._clock.now() - sent_at)
         if member.state is MemberState.RUNNING:
-            graph.begun = True
+            self._begin(graph)
             if active.all_running and not active.started_at:
                 active.started_at = self._clock.now()
                 self._feed(graph.submission.service, GangStarted(active.unit.unit_id))
@@ -815,14 +836,25 @@
     def _store_progress(self, graph: JobGraph) -> Signal:
         return self.ledger.stage(progress_key(graph.submission.job_id), graph.progress())
 
+    def _begin(self, graph: JobGraph) -> None:
+        if not graph.begun:
+            graph.begun = True
+            waited_s = self._clock.wall() - graph.submission.accepted_at
+            self._meters.observe(Meter.FIRST_START, max(0.0, waited_s))
+
     def _committed(self, key: str, message: Progress | WorkersUsed) -> None:
         if isinstance(message, WorkersUsed):
             self._recorded = {entry.worker for entry in message.entries}
             self._admit_recorded()
             return
         job_id = key.removeprefix(PROGRESS_PREFIX)
-        if job_id in self.shown:
-            self.shown[job_id] = message.state
+        if job_id not in self.shown:
+            return
+        self.shown[job_id] = message.state
+        ended_at = self._ended_at.pop(job_id, None)
+        if message.state.final and ended_at is not None:
+            self._meters.observe(Meter.SHOWN, self._clock.now() - ended_at)
+            self._meters.count(Meter.JOBS, outcome=message.state.value, cause="")
 
 
 def _parse_unit(unit_id: str, graphs: dict[str, JobGraph]) -> Unit | None:
--- a/src/lacewingmill/ports.py
+++ b/src/lacewingmill/ports.py
@@ -1,5 +1,6 @@
 """The interfaces between decisions and the outside; adapters implement them."""
 
+import enum
 from typing import Protocol
 
 import attrs
@@ -13,6 +14,8 @@
     "ExecutorPort",
     "LeaseOrder",
     "LeaseState",
+    "Meter",
+    "Meters",
     "ReleaseAnswer",
     "StartOrder",
     "Store",
@@ -25,6 +28,34 @@
 ]
 
 
+class Meter(enum.Enum):
+    """An instrument of jobs of steps: name, meaning. Times are in seconds."""
+
+    JOBS = ("lacewingmill_jobs", "Jobs by outcome and cause")
+    RUNS = ("lacewingmill_runs", "Runs of tasks by their end")
+    ORDERS = ("lacewingmill_orders", "Starts ordered by what the worker made of them")
+    EVICTIONS = ("lacewingmill_evictions", "Units that gave their workers back to others")
+    STORED = ("lacewingmill_stored_seconds", "From a hand-in to its being stored")
+    FIRST_START = ("lacewingmill_first_start_seconds", "From acceptance to the first start ordered")
+    SHOWN = ("lacewingmill_shown_seconds", "From the end of a job to its being stored and shown")
+    ORDER = ("lacewingmill_order_seconds", "From a start sent to its answer")
+    TAKEOVER = ("lacewingmill_takeover_seconds", "From becoming owner to the first planning")
+
+    def __init__(self, instrument: str, meaning: str):
+        self.instrument = instrument
+        self.meaning = meaning
+
+
+class Meters(Protocol):
+    """Where counts and times go."""
+
+    def count(self, meter: Meter, **labels: str) -> None:
+        """Count one."""
+
+    def observe(self, meter: Meter, seconds: float) -> None:
+        """Record a time."""
+
+
 class Clock(Protocol):
     """Time as the runtime gives it; tests pause and advance it."""
 
--- /dev/null
+++ b/tests/test_log_story.py
@@ -0,0 +1,67 @@
+"""From the id of a failed request to its cause, by captured logs and the documented command."""
+
+import io
+import json
+
+import pytest
+import structlog
+
+from lacewingmill.cli import ExitCode, main
+from lacewingmill.events import configure_logging
+from lacewingmill.log_story import tell_story
+from tests.platform_fleet import PlatformFleet, job_id, step
+from tests.test_platform_path import run
+from tests.test_platform_recovery import wait_for_owner
+
+
+@pytest.fixture
+def captured():
+    stream = io.StringIO()
+    configure_logging(stream)
+    yield stream
+    structlog.reset_defaults()
+
+
+def story(captured, wanted):
+    return "\n".join(tell_story(captured.getvalue().splitlines(), wanted))
+
+
+def test_a_job_refused_under_an_outage_names_the_store(captured):
+    fleet = PlatformFleet()
+    fleet.kv.faults.down = True
+    assert run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step()]) == 503
+    told = story(captured, job_id(1))
+    assert "job_not_accepted" in told and "neither the store nor another VM answers" in told
+    assert "store_unavailable" in captured.getvalue()
+
+
+def test_a_job_that_failed_after_its_attempts_names_each_worker(captured):
+    fleet = PlatformFleet()
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step()], "run_s=1 fail=9")
+    fleet.clock.advance(6.0)
+    assert run(fleet, fleet.state, "vm0", "patient", job_id(1)) == "failed"
+    told = story(captured, job_id(1))
+    assert told.count("end=failed") == 2 and "job_failed" in told and "attempts=2" in told
+
+
+def test_a_job_late_around_a_takeover_names_both_owners(captured):
+    fleet = PlatformFleet()
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step()], "run_s=6")
+    first = fleet.owner
+    fleet.kill(first)
+    wait_for_owner(fleet)
+    fleet.clock.advance(8.0)
+    told = story(captured, job_id(1))
+    vms = {line.split()[1] for line in told.splitlines() if "unit_" in line or "run_ended" in line}
+    assert vms == {first, fleet.owner}
+    taken = [json.loads(line) for line in captured.getvalue().splitlines() if "jobs_taken" in line]
+    assert [line["vm"] for line in taken] == [first, fleet.owner]
+
+
+def test_the_command_reads_standard_input(monkeypatch, capsys):
+    lines = ['  1.5 vm0 {"event": "job_ended", "job": "abc", "vm": "vm0"}\n', "noise\n", "{}\n"]
+    monkeypatch.setattr("sys.stdin", io.StringIO("".join(lines)))
+    assert main(["story", "abc"]) == ExitCode.OK
+    assert "job_ended job=abc" in capsys.readouterr().out
+    monkeypatch.setattr("sys.stdin", io.StringIO(""))
+    assert main(["story", "abc"]) == ExitCode.FAILED
