Keep workers empty only while urgent jobs come and half of the cluster is in use

Nothing is kept now when no urgent job has come for 4 s or less than half of the accelerators is held.

--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -11,6 +11,9 @@
 
 __all__ = ["BorrowPlanner"]
 
+# Urgent jobs come about once a second; after so long without one, nothing is kept for them.
+URGENT_MEMORY_S = 4.0
+
 
 class BorrowPlanner:
     """Places queued work on accelerators that its team has no guarantee for."""
@@ -91,6 +94,10 @@
         if not has_time(job.objective, expected_s, now):
             return False
         cluster = self._state.cluster
+        if now - self._state.urgent_at > URGENT_MEMORY_S:
+            return False
+        if 2 * cluster.free_accelerators > cluster.total_accelerators:
+            return False
         empty = sum(1 for node in cluster.nodes.values() if not node.members)
         whole_worker = cluster.total_accelerators / max(1, len(cluster.nodes))
         taken = max(1.0, job.shape.accelerators / max(1.0, whole_worker))
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -145,6 +145,8 @@
             self._state.actions.append(RefuseJob(job.job_id, reason))
             return
         record = JobRecord(job)
+        if job.urgent:
+            self._state.urgent_at = now
         self._state.records[job.job_id] = record
         self._state.queue[job.job_id] = record
 
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -43,6 +43,7 @@
         self.packing = PackingValue(self.cluster, ())
         self.limits: dict[tuple[str, str], int] = {}
         self.held: dict[tuple[str, str], int] = {}
+        self.urgent_at = float("-inf")
         self.quotas: dict[tuple[str, str], int] = {}
         self.reservation: Reservation | None = None
         self.moving: set[str] = set()
