--- a/src/lacewingmill/jobs/desk.py
+++ b/src/lacewingmill/jobs/desk.py
@@ -34,7 +34,8 @@
     WaitingAsk,
     decode_ask,
 )
-from lacewingmill.jobs.ports import ItemRevision, Put, Transaction, TransactionStore
+from lacewingmill.jobs.ports import ItemRevision, Put, Transaction
+from lacewingmill.jobs.relay import RelayedStore
 from lacewingmill.ports import Clock, Meter, Meters
 
 __all__ = ["DeskParts", "JobDesk"]
@@ -44,8 +45,10 @@
 REFUSALS_BEFORE_ANSWER = 2
 # Part of a caller's time after which it is told that the outcome is not known.
 DEADLINE_SHARE = 0.8
-# When a caller may come back while the store is away.
-STORE_AWAY_RETRY_S = 1.0
+# When a caller may come back while the store is away: after as long again as it has been away, for
+# callers come back a few times only and outages last for seconds.
+SHORTEST_RETRY_S = 1.0
+LONGEST_RETRY_S = 4.0
 OWNER_AWAY_RETRY_S = 1.0
 WAITING_FRESH_S = 0.7
 CANCEL_WAIT_S = 1.2
@@ -59,7 +62,7 @@
     :param owner: returns the VM that directs the jobs, as far as it is known.
     """
 
-    store: TransactionStore
+    store: RelayedStore
     calls: OwnerCalls
     clock: Clock
     log: EventLog
@@ -139,7 +142,7 @@
             return self._read_state(job_id, team)
         except StoreUnavailable as exc:
             raise JobRefused(
-                f"the job's state cannot be read: {exc.message}", retry_s=STORE_AWAY_RETRY_S
+                f"the job's state cannot be read: {exc.message}", retry_s=self._retry_s()
             ) from exc
 
     def cancel(self, job_id: str, team: str) -> bool:
@@ -161,7 +164,7 @@
         except TransactionConflict:
             return True
         except StoreRefused as exc:
-            raise JobRefused(exc.message, retry_s=STORE_AWAY_RETRY_S) from exc
+            raise JobRefused(exc.message, retry_s=self._retry_s()) from exc
         except StoreUnavailable as exc:
             raise OutcomeUnknown(exc.message, step="cancel") from exc
         return True
@@ -264,7 +267,10 @@
     def _refuse(self, submission: Submission, reason: str) -> None:
         self._meters.count(Meter.JOBS, outcome="refused", cause="store")
         self._log.emit(LogEvent.JOB_NOT_ACCEPTED, job=submission.job_id, reason=reason)
-        raise JobRefused(f"the job was not stored: {reason}", retry_s=STORE_AWAY_RETRY_S)
+        raise JobRefused(f"the job was not stored: {reason}", retry_s=self._retry_s())
+
+    def _retry_s(self) -> float:
+        return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, self._store.away_s))
 
     def _read_state(self, job_id: str, team: str) -> JobState | None:
         record = self._store.get(job_key(job_id))
--- a/src/lacewingmill/jobs/relay.py
+++ b/src/lacewingmill/jobs/relay.py
@@ -122,6 +122,7 @@
         self._direct_rests_until = 0.0
         self._relays_rest_until = 0.0
         self._peer_rests_until: dict[str, float] = {}
+        self._answered_at = clock.now()
         self._helper = ""
         self._relaying = False
 
@@ -130,6 +131,13 @@
         """Whether the last direct call was answered."""
         return self._clock.now() >= self._direct_rests_until
 
+    @property
+    def away_s(self) -> float:
+        """How long no call has been answered, directly or not, in seconds; 0 while they are."""
+        if self.reached and self._clock.now() >= self._relays_rest_until:
+            return 0.0
+        return self._clock.now() - self._answered_at
+
     def get(self, key: str) -> Record | None:
         """Return a key, or ``None``."""
         return self.read(key)[0]
@@ -206,6 +214,7 @@
         self._direct_rests_until = self._clock.now() + REST_S
 
     def _note(self, *, relaying: bool) -> None:
+        self._answered_at = self._clock.now()
         if relaying is self._relaying:
             return
         self._relaying = relaying
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -230,3 +230,17 @@
     calls = sum(fleet.kv.calls.values())
     fleet.clock.advance(10.0)
     assert sum(fleet.kv.calls.values()) - calls <= 10 * CALLS_IN_OUTAGE_PER_S
+
+
+def test_callers_come_back_less_often_the_longer_the_store_is_away(fleet):
+    """A caller comes back a few times only, so an outage of seconds must not use them all up."""
+    fleet.kv.faults.down = True
+    waits = []
+    for _ in range(4):
+        path = f"/urgent/{job_id(1)}"
+        body = {"spec": "run_s=1", "steps": [step()]}
+        status, _, headers = run(fleet, fleet.call, "vm0", "POST", path, body, seconds=1.0)
+        assert status == 503
+        waits.append(int(headers["Retry-After"]))
+        fleet.clock.advance(waits[-1])
+    assert waits == sorted(waits) and waits[0] == 1 and sum(waits) >= 8
