--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -137,7 +137,17 @@
         )
     writer = standard_output()
     configure_logging(writer)
-    code = _run_vm(build_job_vm(load_platform_settings(Path(args.settings))))
+    path = Path(args.settings)
+    vm = build_job_vm(load_platform_settings(path))
+
+    def reload() -> None:
+        try:
+            vm.reload(load_platform_settings(path))
+        except SettingsError as exc:
+            vm.reload_failed(exc.message)
+
+    gevent.signal_handler(signal.SIGHUP, reload)
+    code = _run_vm(vm)
     writer.close(LAST_LINES_S)
     return code
 
--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -19,6 +19,8 @@
     VM_STOPPED = (102, "info", "The entry VM stopped with nothing in flight.")
     NOT_READY = (103, "warning", "The VM turned not ready; the reason is given.")
     READY = (104, "info", "The VM turned ready.")
+    SETTINGS_RELOADED = (106, "info", "The settings were read anew after SIGHUP; what changed.")
+    SETTINGS_UNUSABLE = (107, "error", "Changed settings cannot be used; the old ones stay.")
     LINES_DROPPED = (105, "warning", "Lines of events that came too often were dropped; counted.")
     REQUEST_CRASHED = (110, "error", "A request raised an unexpected error; others go on.")
     CATALOGUE_IN_FORCE = (200, "info", "A configuration revision is in force on this VM.")
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -1,5 +1,6 @@
 """One VM that accepts jobs of steps, and directs all of them while it is the owner."""
 
+import attrs
 import gevent
 from gevent.event import Event
 
@@ -92,6 +93,17 @@
             self._stopping = True
             gevent.spawn(self._stop)
 
+    def reload(self, settings: JobVmSettings) -> None:
+        """Take changed settings in; addresses are bound until the process starts anew."""
+        before, self._settings = self._settings, settings
+        names = [field.name for field in attrs.fields(JobVmSettings)]
+        changed = [name for name in names if getattr(before, name) != getattr(settings, name)]
+        self._log.emit(LogEvent.SETTINGS_RELOADED, changed=changed)
+
+    def reload_failed(self, reason: str) -> None:
+        """Keep the settings in force when changed ones cannot be used."""
+        self._log.emit(LogEvent.SETTINGS_UNUSABLE, reason=reason)
+
     def why_not_ready(self) -> str:
         """Return why callers should go elsewhere, or an empty string."""
         if self._stopping:
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -15,6 +15,7 @@
 from lacewingmill.jobs.ports import (
     HoldOrder,
     HoldReport,
+    StartAnswer,
     StartOrder,
     StartOutcome,
     WorkerEntry,
@@ -32,7 +33,10 @@
 LONGEST_WAIT_S = 2.0
 HOLD_MARGIN_S = 0.7
 # Orders cross a zone in about 3 ms; slow VMs and workers take tens of that.
-ORDER_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.5
+# A start without an answer is sent again under its number, which starts nothing twice; all tries
+# together are shorter than a gang waits for its members.
+START_TRIES = 4
 ORDERS_AT_ONCE = 3
 RETRY_S = 0.25
 UNACKED_PAUSE_S = 0.5
@@ -61,7 +65,6 @@
 OUTCOMES = {
     StartOutcome.STARTED: StartResult.STARTED,
     StartOutcome.SUPERSEDED: StartResult.SUPERSEDED,
-    StartOutcome.LATE: StartResult.UNHEALTHY,
     StartOutcome.NO_ROOM: StartResult.NO_ROOM,
     StartOutcome.UNHEALTHY: StartResult.UNHEALTHY,
     StartOutcome.INVALID: StartResult.INVALID,
@@ -175,19 +178,16 @@
         self._wake.set()
 
     def start(self, member: Member, spec: str, saved: str) -> StartResult:
-        """Send a start and return what became of it."""
+        """Send a start, again while it is not answered, and return what became of it."""
         with self._slots:
             if member.state is not MemberState.PLANNED:
                 return StartResult.UNKNOWN
-            for _ in range(2):
-                if not self._tenure.valid:
-                    return StartResult.UNHEALTHY
-                until = self._until()
-                order = StartOrder(member.task, member.run, spec, until, self._tenure.fence, saved)
-                member.state = MemberState.ORDERED
-                self._expires_at = max(self._expires_at, self._lapse_at(until))
+            unanswered = False
+            for _ in range(START_TRIES):
+                if not self._tenure.valid or member.gone or member.stopped_at:
+                    return StartResult.UNKNOWN
                 try:
-                    answer = self._orders.start(self.entry, order, timeout_s=ORDER_TIMEOUT_S)
+                    answer = self._send_start(member, spec, saved)
                 except FenceRejected:
                     self._listener.fenced()
                     return StartResult.UNKNOWN
@@ -195,15 +195,33 @@
                     self._replaced()
                     return StartResult.UNHEALTHY
                 except TransportError:
-                    self._fail()
-                    return StartResult.UNKNOWN
-                if answer.clock_s:
-                    self._offset = answer.clock_s - self._clock.now()
-                if answer.outcome is not StartOutcome.LATE:
-                    break
-            return self._take_answer(member, OUTCOMES[answer.outcome])
-
-    def _take_answer(self, member: Member, result: StartResult) -> StartResult:
+                    unanswered = True
+                    continue
+                if answer.outcome is StartOutcome.LATE:
+                    continue
+                return self._take_answer(member, OUTCOMES[answer.outcome], unanswered)
+            self._fail()
+            return StartResult.UNKNOWN
+
+    def _send_start(self, member: Member, spec: str, saved: str) -> StartAnswer:
+        until = self._until()
+        order = StartOrder(member.task, member.run, spec, until, self._tenure.fence, saved)
+        if member.state is MemberState.PLANNED:
+            member.state = MemberState.ORDERED
+        self._expires_at = max(self._expires_at, self._lapse_at(until))
+        answer = self._orders.start(self.entry, order, timeout_s=ORDER_TIMEOUT_S)
+        if answer.clock_s:
+            self._offset = answer.clock_s - self._clock.now()
+        return answer
+
+    def _take_answer(self, member: Member, result: StartResult, unanswered: bool) -> StartResult:
+        """Take in an answer to a start.
+
+        :param unanswered: whether the same start was sent before without an answer, so that a
+            refusal says nothing about that one.
+        """
+        if member.gone:
+            return StartResult.UNKNOWN
         if result is StartResult.STARTED:
             member.state = MemberState.RUNNING
             member.confirmed_at = self._clock.now()
@@ -212,7 +230,7 @@
         if result in (StartResult.UNHEALTHY, StartResult.NO_ROOM):
             self._unhealthy_until = self._clock.now() + UNHEALTHY_PAUSE_S
             self._mark_silent()
-        return result
+        return StartResult.UNKNOWN if unanswered else result
 
     def stop_run(self, member: Member) -> None:
         """Send a stop until it is answered or the member is gone."""
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -27,6 +27,7 @@
         self.services: dict[str, EmulatedService] = {}
         self.cut: set[tuple[str, str]] = set()
         self.lost_orders: set[str] = set()
+        self.lost_answers: dict[str, int] = {}
         self.late_orders: dict[str, float] = {}
         self._store_address = store_address
 
@@ -115,7 +116,12 @@
             gevent.spawn(self._later, executor, path, headers, body, late_s)
             network.clock.sleep(timeout_s)
             raise CallTimeout("order late", step=path, peer=peer)
-        return self._finish(executor.handle(path, headers, body), timeout_s)
+        answer = executor.handle(path, headers, body)
+        if path != "/hold" and network.lost_answers.get(executor.name, 0):
+            network.lost_answers[executor.name] -= 1
+            network.clock.sleep(timeout_s)
+            raise CallTimeout("answer lost", step=path, peer=peer)
+        return self._finish(answer, timeout_s)
 
     def _later(self, executor, path, headers, body, late_s) -> None:
         self._network.clock.sleep(late_s)
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -1,5 +1,6 @@
 """Jobs across the death of VMs, outages of the store and lost orders, on virtual time."""
 
+import attrs
 import pytest
 
 from standins.platform import configuration
@@ -244,3 +245,23 @@
         waits.append(int(headers["Retry-After"]))
         fleet.clock.advance(waits[-1])
     assert waits == sorted(waits) and waits[0] == 1 and sum(waits) >= 8
+
+
+def test_a_start_without_an_answer_is_sent_again_under_its_number(fleet):
+    """One lost order must not cost a whole gang: the worker starts the same run once."""
+    gang = [step(count=4, gpu=8, gang=True)]
+    for executor in fleet.executors:
+        fleet.network.lost_answers[executor.name] = 2
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=2")
+    fleet.clock.advance(4.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    assert [(r.number, r.how) for r in fleet.book.runs] == [(1, "done")] * 4
+
+
+def test_changed_settings_are_taken_in_and_bad_ones_are_not(fleet):
+    vm = fleet.vms["vm0"]
+    before = vm._settings
+    vm.reload(attrs.evolve(before, metrics="vm0:99"))
+    assert vm._settings.metrics == "vm0:99"
+    vm.reload_failed("field ip is missing")
+    assert vm._settings.metrics == "vm0:99"
