Let a gang of one rack span racks when none can hold it or it has waited long

The planners now try the rack first and any workers after 10 s, after 2 s on a mostly idle cluster, and at once when no rack could hold the gang.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -398,7 +398,7 @@
         graph.begun = True
         self._active[unit.unit_id] = active
         scheduler = self._scheduler(graph.submission.service)
-        job = unit_job(graph, unit, self._clock, self._parts.limits, scheduler.cluster)
+        job = unit_job(graph, unit, self._clock)
         placement = self._placement(scheduler, members, job.shape.unit_accelerators)
         gang = RunningGang(job, placement, job.urgent, now)
         for action in scheduler.handle(GangRecovered(gang), now):
@@ -438,9 +438,7 @@
 
     def _queue_unit(self, graph: JobGraph, unit: Unit) -> None:
         service = graph.submission.service
-        cluster = self._scheduler(service).cluster
-        job = unit_job(graph, unit, self._clock, self._parts.limits, cluster)
-        self._feed(service, JobSubmitted(job))
+        self._feed(service, JobSubmitted(unit_job(graph, unit, self._clock)))
 
     def _see_running(self, link: WorkerLink, listed: RunListed) -> None:
         task = listed.task
--- a/src/lacewingmill/jobs/planning.py
+++ b/src/lacewingmill/jobs/planning.py
@@ -3,10 +3,8 @@
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.model import QueueTable, Step, Unit
 from lacewingmill.jobs.ports import WorkerEntry
-from lacewingmill.jobs.settings import PlatformLimits
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.ports import Clock
-from lacewingmill.scheduling.cluster import Cluster
 from lacewingmill.scheduling.messages import (
     GuaranteesChanged,
     Job,
@@ -77,9 +75,7 @@
     return GuaranteesChanged((), (), mix, quotas)
 
 
-def unit_job(
-    graph: JobGraph, unit: Unit, clock: Clock, limits: PlatformLimits, cluster: Cluster
-) -> Job:
+def unit_job(graph: JobGraph, unit: Unit, clock: Clock) -> Job:
     """Return a unit as the scheduler sees it."""
     submission = graph.submission
     step = submission.steps[unit.step]
@@ -91,7 +87,7 @@
         unit.unit_id,
         submission.service,
         submission.team,
-        _shape(submission.queue, step, len(unit.indexes), cluster),
+        _shape(submission.queue, step, len(unit.indexes)),
         claims=False,
         idempotent=True,
         checkpoint=step.checkpoint,
@@ -102,6 +98,7 @@
             step.data_rack,
             f"{unit.job_id}/{unit.occurrence}/{unit.step}",
             step.max_per_worker,
+            step.same_rack and len(unit.indexes) > 1,
         ),
         objective=Objective(
             submission.priority,
@@ -111,9 +108,9 @@
     )
 
 
-def _shape(queue: str, step: Step, members: int, cluster: Cluster) -> Shape:
+def _shape(queue: str, step: Step, members: int) -> Shape:
     adjacency = Adjacency.CLUSTER if members > 1 else Adjacency.WORKER
-    shape = Shape(
+    return Shape(
         queue,
         step.accelerators * members,
         adjacency,
@@ -122,15 +119,3 @@
         max(step.expected_s, 0.001),
         members,
     )
-    if members == 1 or not step.same_rack:
-        return shape
-    near = Shape(
-        shape.name,
-        shape.accelerators,
-        Adjacency.RACK,
-        shape.processors,
-        shape.memory_gb,
-        shape.expected_s,
-        members,
-    )
-    return near if cluster.fits_empty(near) else shape
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -1,5 +1,7 @@
 """Borrowed work: its order, its placement beside the guarantees, and a reservation for one gang."""
 
+import attrs
+
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, Node
 from lacewingmill.scheduling.messages import Job, Needs
@@ -54,9 +56,13 @@
         return (key, job.submitted_at, job.job_id)
 
     def _find(self, record: JobRecord, now: float) -> Block | None:
-        block = find_block(self._state.cluster, record.job.shape, self._rules(record, now))
-        if block is not None or record.job.evictable:
-            return block
+        rules = self._rules(record, now)
+        for shape in self._state.placed_shapes(record.job, now):
+            block = find_block(self._state.cluster, shape, rules)
+            if block is not None:
+                return block
+        if record.job.evictable:
+            return None
         return self._find_by_moving_reservations(record, now)
 
     def _rules(
@@ -128,9 +134,10 @@
         if not starving:
             return
         oldest = min(starving, key=lambda record: record.job.submitted_at)
+        shape = self._state.placed_shapes(oldest.job, now)[0]
         self._state.reservation = plan_reservation(
             self._state.cluster,
-            oldest.job,
+            attrs.evolve(oldest.job, shape=shape),
             self._state.records,
             self._state.run_times,
             now,
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -130,12 +130,15 @@
     :param rack: the rack that holds the job's data; work elsewhere takes several times as long.
     :param group: jobs that count together for ``max_per_worker``.
     :param max_per_worker: most members of the group on one worker; 0 for no limit.
+    :param same_rack: whether a gang slows down when it spans racks; it does so only when it has
+        waited for long or no rack can hold it.
     """
 
     label: str = ""
     rack: str = ""
     group: str = ""
     max_per_worker: int = 0
+    same_rack: bool = False
 
 
 @attrs.frozen
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -1,5 +1,6 @@
 """Urgent jobs: the accelerators that belong to their team, and work they may evict for more."""
 
+from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, Node
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.placement import PlacementRules, find_block
@@ -54,16 +55,19 @@
 
     def _place(self, record: JobRecord, guaranteed: bool, now: float) -> bool:
         state = self._state
-        shape = record.job.shape
-        block = find_block(state.cluster, shape, self._free_rules(record, now))
-        victims: tuple[str, ...] = ()
-        if block is None:
-            plan = self._reclaim(record, guaranteed, now)
-            if plan is None:
-                return False
-            block, victims = plan.block, plan.victims
-        self._take(record, block, victims, guaranteed, now)
-        return True
+        rules = self._free_rules(record, now)
+        shapes = state.placed_shapes(record.job, now)
+        for shape in shapes:
+            block = find_block(state.cluster, shape, rules)
+            if block is not None:
+                self._take(record, block, (), guaranteed, now)
+                return True
+        for shape in shapes:
+            plan = self._reclaim(record, shape, guaranteed, now)
+            if plan is not None:
+                self._take(record, plan.block, plan.victims, guaranteed, now)
+                return True
+        return False
 
     def _take(
         self,
@@ -90,7 +94,9 @@
         for victim in victims:
             state.evict(state.records[victim], record.job.job_id, now)
 
-    def _reclaim(self, record: JobRecord, guaranteed: bool, now: float) -> Reclaim | None:
+    def _reclaim(
+        self, record: JobRecord, shape: Shape, guaranteed: bool, now: float
+    ) -> Reclaim | None:
         state = self._state
         job = record.job
         limits = ReclaimLimits(
@@ -100,7 +106,7 @@
         )
         plan = plan_reclaim(
             state.cluster,
-            job.shape,
+            shape,
             state.records,
             now,
             state.failures.doubtful,
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 
-from lacewingmill.models import Shape
+import attrs
+
+from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, Node
 from lacewingmill.scheduling.guarantees import Slot, SlotBook
 from lacewingmill.scheduling.messages import Action, EvictGang, Job, StartGang
@@ -20,6 +22,10 @@
 DOUBTFUL_RANK = 100.0
 REMOTE_RANK = 30.0
 UNLIMITED_UNITS = 1 << 30
+# Work across racks takes about three times as long; a job of ten seconds gains by waiting less than
+# that. On a cluster that is mostly idle no rack will get emptier by waiting.
+RACK_PATIENCE_S = 10.0
+RACK_PATIENCE_IDLE_S = 2.0
 HELD_STATES = (JobState.STARTING, JobState.RUNNING, JobState.EVICTING)
 
 
@@ -234,6 +240,18 @@
 
         return rank
 
+    def placed_shapes(self, job: Job, now: float) -> tuple[Shape, ...]:
+        """Return the shapes in which a job may be placed now, best first."""
+        if not job.needs.same_rack:
+            return (job.shape,)
+        near = attrs.evolve(job.shape, adjacency=Adjacency.RACK)
+        if not self.cluster.fits_empty(near):
+            return (job.shape,)
+        waited_s = now - job.submitted_at
+        idle = 2 * self.cluster.free_accelerators > self.cluster.total_accelerators
+        patience_s = RACK_PATIENCE_IDLE_S if idle else RACK_PATIENCE_S
+        return (near, job.shape) if waited_s > patience_s else (near,)
+
     def needs_units(self, job: Job, node: Node, now: float) -> int:
         """Return how many members of a job a worker may take by what the job needs of workers."""
         needs = job.needs
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -17,6 +17,7 @@
     TeamQuota,
     Tick,
     WorkerJoined,
+    WorkerLeaving,
     WorkerNode,
 )
 from lacewingmill.scheduling.order import OrderRules
@@ -205,3 +206,32 @@
     cell.submit("before", accelerators=1, urgent=True)
     cell.submit("wide", accelerators=8, members=3)
     assert "wide" in cell.started
+
+
+def test_a_gang_keeps_to_one_rack_while_that_can_come_free():
+    cell = Cell(workers=4)
+    for number in range(2):
+        cell.submit(f"blocker{number}", accelerators=8, rack=f"r{number}")
+    cell.submit("near", accelerators=8, members=2, same_rack=True)
+    assert "near" not in cell.started
+    cell.feed(JobFinished("blocker0", 5.0))
+    assert {member.worker for member in cell.started["near"]} == {"w0", "w1"}
+
+
+def test_a_gang_spans_racks_when_none_can_hold_it_any_more():
+    cell = Cell(workers=4)
+    cell.feed(WorkerLeaving("w0"))
+    cell.feed(WorkerLeaving("w2"))
+    cell.submit("near", accelerators=8, members=2, same_rack=True)
+    assert {member.worker for member in cell.started["near"]} == {"w1", "w3"}
+
+
+def test_a_gang_spans_racks_of_an_idle_cluster_after_a_short_wait():
+    cell = Cell(workers=8)
+    for number in range(4):
+        cell.submit(f"blocker{number}", accelerators=1, rack=f"r{number}")
+    cell.submit("near", accelerators=8, members=2, same_rack=True)
+    assert "near" not in cell.started
+    cell.now = 3.0
+    cell.feed(Tick())
+    assert "near" in cell.started
