Split the director by what its parts do

job_book (jobs and what is stored of them), unit_planner (events into the decision cores), worker_pool (links and which workers may be used), unit_runner (members from order to end), takeover (what a new owner finds); director brings them together. worker_link gives its clock to lease_clock and its acknowledgements to end_acks.

--- a/src/lacewingmill/jobs/inbox.py
+++ b/src/lacewingmill/jobs/inbox.py
@@ -73,7 +73,7 @@
                 submission = self._read(record, Submission)
                 if submission is not None:
                     found = progress.get(submission.job_id)
-                    self._director.restore(submission, record.revision, found)
+                    self._director.book.add(submission, record.revision, found)
         for record in records:
             self._take_cancel(record.key)
 
@@ -98,7 +98,7 @@
         self._director.ledger.know(WORKERS_KEY, record.revision)
         used = self._read(record, WorkersUsed)
         if used is not None:
-            self._director.restore_workers(used)
+            self._director.pool.restore(used)
 
     def _look(self) -> None:
         try:
@@ -120,7 +120,7 @@
         if not key.startswith(CANCEL_PREFIX):
             return
         job_id = key.removeprefix(CANCEL_PREFIX)
-        graph = self._director.graphs.get(job_id)
+        graph = self._director.book.graphs.get(job_id)
         if graph is not None and not graph.state.final:
             self._director.cancel(job_id)
 
@@ -136,8 +136,9 @@
         before = self._clock.wall() - self._kept_s - KEPT_MARGIN_S
         old = [
             job_id
-            for job_id, graph in self._director.graphs.items()
-            if graph.state.final and self._director.shown[job_id].final and graph.ended_at < before
+            for job_id, graph in self._director.book.graphs.items()
+            if graph.state.final and self._director.book.is_stored(graph)
+            if graph.ended_at < before
         ]
         for job_id in old[:JOBS_PER_SWEEP]:
             keys = (job_key(job_id), cancel_key(job_id), progress_key(job_id))
@@ -146,4 +147,4 @@
                 self._store.commit(Transaction((fence,), (), keys))
             except TransactionConflict:
                 return
-            self._director.forget(job_id)
+            self._director.book.forget(job_id)
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -11,10 +11,10 @@
 from lacewingmill.jobs.directory import VmDirectory
 from lacewingmill.jobs.election import JobElector, Tenure
 from lacewingmill.jobs.inbox import Inbox
+from lacewingmill.jobs.lease_clock import SLOW_CLOCK
 from lacewingmill.jobs.roster import Roster
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.jobs.table_follower import TableFollower
-from lacewingmill.jobs.worker_link import SLOW_CLOCK
 from lacewingmill.ports import Clock
 
 __all__ = ["JobVm"]
@@ -132,7 +132,7 @@
         inbox = Inbox(
             self._parts.store, self._clock, self._log, director, self._settings.limits.kept_s
         )
-        roster: Roster = self._roster_of(director.set_workers)
+        roster: Roster = self._roster_of(director.pool.update)
         for load in (inbox.load, roster.load):
             self._load(load)
         self._loops.append(gevent.spawn(roster.follow))
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -1,16 +1,16 @@
 """The owner's link to one worker: orders, lease extension, and what the worker lists."""
 
 import enum
-from collections import deque
 from typing import Protocol
 
-import attrs
 import gevent
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
 from lacewingmill.exceptions import FenceRejected, TransportError, WorkerReplaced
 from lacewingmill.jobs.election import Tenure
+from lacewingmill.jobs.end_acks import EndAcks
+from lacewingmill.jobs.lease_clock import LeaseClock
 from lacewingmill.jobs.model import TaskId
 from lacewingmill.jobs.ports import (
     HoldOrder,
@@ -27,8 +27,6 @@
 
 __all__ = ["LinkListener", "StartResult", "WorkerLink"]
 
-# A little under the platform's longest lease, so that no lease is cut.
-HOLD_SHARE = 0.95
 # The longest time that a worker lets an answer wait.
 LONGEST_WAIT_S = 2.0
 HOLD_MARGIN_S = 0.7
@@ -39,12 +37,8 @@
 START_TRIES = 4
 ORDERS_AT_ONCE = 3
 RETRY_S = 0.25
-UNACKED_PAUSE_S = 0.5
 # An idle worker's ends are acknowledged by the next start, or after this time.
 ACK_DELAY_S = 1.0
-# A worker's clock may be 2 % slow.
-SLOW_CLOCK = 1.03
-EXPIRY_MARGIN_S = 0.2
 FAILURES_UNTIL_SILENT = 2
 # Less than the silence for which the platform unlists a worker, and more than one long answer.
 HEARD_LATELY_S = 3.0
@@ -71,14 +65,6 @@
 }
 
 
-@attrs.frozen
-class _Unstored:
-    """Ends up to a number, and what must be written before the worker may forget them."""
-
-    number: int
-    written: list[Event]
-
-
 class LinkListener(Protocol):
     """What a link tells its owner."""
 
@@ -133,12 +119,8 @@
         self._wake = Event()
         self._stopped = False
         self._incarnation = entry.incarnation
-        self._offset = 0.0
-        self._expires_at = 0.0
-        self._processed = 0
-        self._acked = 0
-        self._acked_sent = 0
-        self._pending: deque[_Unstored] = deque()
+        self._lease = LeaseClock(clock, limits.longest_hold_s)
+        self._acks = EndAcks(clock)
         self._failures = 0
         self._unhealthy_until = 0.0
         self._look = False
@@ -204,14 +186,13 @@
             return StartResult.UNKNOWN
 
     def _send_start(self, member: Member, spec: str, saved: str) -> StartAnswer:
-        until = self._until()
+        until = self._lease.extend()
         order = StartOrder(member.task, member.run, spec, until, self._tenure.fence, saved)
         if member.state is MemberState.PLANNED:
             member.state = MemberState.ORDERED
-        self._expires_at = max(self._expires_at, self._lapse_at(until))
         answer = self._orders.start(self.entry, order, timeout_s=ORDER_TIMEOUT_S)
         if answer.clock_s:
-            self._offset = answer.clock_s - self._clock.now()
+            self._lease.learn(answer.clock_s)
         return answer
 
     def _take_answer(self, member: Member, result: StartResult, unanswered: bool) -> StartResult:
@@ -284,8 +265,7 @@
                 self._clock.sleep(RETRY_S)
                 continue
             if self.opened and not self.silent and self.idle and not self._look:
-                unsent = self._acked != self._acked_sent or self._pending
-                if unsent:
+                if self._acks.outstanding:
                     self._clock.wait(self._wake, ACK_DELAY_S)
                 else:
                     self._wake.wait()
@@ -293,14 +273,13 @@
             self._look_once()
 
     def _look_once(self) -> None:
-        quick = self._look or self.idle or not self.opened or self.silent or bool(self._pending)
+        quick = self._look or self.idle or not self.opened or self.silent or self._acks.unstored
         self._look = False
         wait_s = 0.0 if quick else min(LONGEST_WAIT_S, self._limits.longest_hold_s / 3)
         # An unanswered extension may yet be carried out; the leases of a silent worker must end.
-        until = self._until() if self.opened and self._failures == 0 else 0.0
-        self._expires_at = max(self._expires_at, self._lapse_at(until) if until else 0.0)
+        until = self._lease.extend() if self.opened and self._failures == 0 else 0.0
         sent_at = self._clock.now()
-        acked = self._acked if self._failures == 0 else 0
+        acked = self._acks.acked if self._failures == 0 else 0
         order = HoldOrder(self._tenure.fence, acked, until, wait_s)
         try:
             report = self._orders.hold(self.entry, order, timeout_s=wait_s + HOLD_MARGIN_S)
@@ -318,16 +297,16 @@
             self._clock.sleep(RETRY_S)
             return
         if not self._stopped:
-            self._acked_sent = acked
+            self._acks.sent = acked
             self._take(report, sent_at)
 
     def _take(self, report: HoldReport, sent_at: float) -> None:
         self._failures = 0
         self._heard_at = self._clock.now()
-        self._offset = report.clock_s - self._clock.now()
+        self._lease.learn(report.clock_s)
         if report.incarnation != self._incarnation:
             self._restart(report.incarnation)
-        fresh = tuple(ended for ended in report.ended if ended.number > self._processed)
+        fresh = tuple(ended for ended in report.ended if ended.number > self._acks.seen)
         report = HoldReport(report.clock_s, report.incarnation, report.running, fresh)
         if not self.opened:
             self.opened = True
@@ -335,25 +314,14 @@
             self._listener.link_opened(self, report)
         pending = self._listener.link_reported(self, report)
         self._find_missing(report, sent_at)
-        if fresh:
-            self._processed = fresh[-1].number
         if self.silent and self._clock.now() >= self._unhealthy_until:
             self.silent = False
             self._listener.link_answers(self)
         elif self.silent:
             self._clock.sleep(RETRY_S)
         if fresh:
-            self._pending.append(_Unstored(fresh[-1].number, pending))
-        self._acknowledge()
-
-    def _acknowledge(self) -> None:
-        """Let the worker forget its ends once what they changed is in the store."""
-        while self._pending:
-            oldest = self._pending[0]
-            if not all(self._clock.wait(event, UNACKED_PAUSE_S) for event in oldest.written):
-                return
-            self._acked = max(self._acked, oldest.number)
-            self._pending.popleft()
+            self._acks.take(fresh[-1].number, pending)
+        self._acks.settle()
 
     def _find_missing(self, report: HoldReport, sent_at: float) -> None:
         """Find members that the worker should list and does not."""
@@ -373,8 +341,7 @@
     def _restart(self, incarnation: int) -> None:
         """The worker's process has started anew and knows nothing of before."""
         self._incarnation = incarnation
-        self._processed = self._acked = self._acked_sent = 0
-        self._pending.clear()
+        self._acks.reset()
         self._drop_all()
 
     def _replaced(self) -> None:
@@ -403,7 +370,7 @@
             self._listener.link_silent(self)
 
     def _check_expiry(self) -> None:
-        if self.members and self._clock.now() > self._expires_at:
+        if self.members and self._lease.expired:
             self._lose()
 
     def _lose(self) -> None:
@@ -411,12 +378,3 @@
         if self.opened:
             self.opened = False
             self._listener.link_lost(self)
-
-    def _until(self) -> float:
-        """Return the end of a lease that begins now, on the worker's clock."""
-        return self._clock.now() + self._offset + self._limits.longest_hold_s * HOLD_SHARE
-
-    def _lapse_at(self, until: float) -> float:
-        """Return when a lease has certainly lapsed, on this VM's clock."""
-        left = until - (self._clock.now() + self._offset)
-        return self._clock.now() + left * SLOW_CLOCK + EXPIRY_MARGIN_S
