--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -15,6 +15,7 @@
 from lacewingmill.jobs.roster import Roster
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.jobs.table_follower import TableFollower
+from lacewingmill.lifecycle import ReadinessLog, wait_until_quiet
 from lacewingmill.ports import Clock
 
 __all__ = ["JobVm"]
@@ -26,7 +27,6 @@
 # The balancer notices within two of its looks, one a second.
 DRAIN_S = 2.5
 QUIET_S = 0.4
-STOP_POLL_S = 0.05
 # Left of the grace time for the process to end.
 EXIT_MARGIN_S = 0.9
 
@@ -53,7 +53,7 @@
         self._directory = directory
         self._stopping = False
         self._stopped = Event()
-        self._was_ready: bool | None = None
+        self._readiness = ReadinessLog(log)
         self._loops: list[gevent.Greenlet] = []
         self.director: Director | None = None
 
@@ -151,11 +151,7 @@
 
     def _follow_readiness(self) -> None:
         while True:
-            reason = self.why_not_ready()
-            if self._was_ready is not (not reason):
-                self._was_ready = not reason
-                event = LogEvent.NOT_READY if reason else LogEvent.READY
-                self._log.emit(event, reason=reason)
+            self._readiness.note(self.why_not_ready())
             self._elector.eligible = not self._stopping and self._follower.table is not None
             self._clock.sleep(FOLLOW_READY_S)
 
@@ -165,15 +161,13 @@
         began = self._clock.now()
         self._front.drain()
         self._elector.hand_over()
-        quiet_since = self._clock.now()
-        end = began + self._settings.limits.grace_s - EXIT_MARGIN_S
-        while self._clock.now() < end:
-            if self._front.in_flight:
-                quiet_since = self._clock.now()
-            quiet = self._clock.now() - quiet_since >= QUIET_S
-            if quiet and self._clock.now() - began >= DRAIN_S:
-                break
-            self._clock.sleep(STOP_POLL_S)
+        wait_until_quiet(
+            self._front,
+            self._clock,
+            QUIET_S,
+            earliest=began + DRAIN_S,
+            latest=began + self._settings.limits.grace_s - EXIT_MARGIN_S,
+        )
         for service in self._services:
             service.close()
         self._log.emit(LogEvent.VM_STOPPED)
--- /dev/null
+++ b/src/lacewingmill/lifecycle.py
@@ -0,0 +1,51 @@
+"""What every VM does at its start, while it turns ready or not, and at a planned stop."""
+
+from typing import Protocol
+
+from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.ports import Clock
+
+__all__ = ["ReadinessLog", "wait_until_quiet"]
+
+POLL_S = 0.05
+
+
+class Serving(Protocol):
+    """A service that counts its requests."""
+
+    in_flight: int
+
+
+class ReadinessLog:
+    """Writes a line whenever a VM turns ready or not."""
+
+    def __init__(self, log: EventLog):
+        self._log = log
+        self._was_ready: bool | None = None
+
+    def note(self, reason: str) -> None:
+        """Take in why the VM is not ready; an empty string when it is."""
+        ready = not reason
+        if ready is self._was_ready:
+            return
+        self._was_ready = ready
+        self._log.emit(LogEvent.READY if ready else LogEvent.NOT_READY, reason=reason)
+
+
+def wait_until_quiet(
+    service: Serving, clock: Clock, quiet_s: float, *, earliest: float, latest: float
+) -> None:
+    """Wait until a service has had nothing in flight for a while.
+
+    :param quiet_s: for how long, in seconds.
+    :param earliest: not before that moment, in seconds.
+    :param latest: not beyond that moment, in seconds.
+    """
+    quiet_since = clock.now()
+    while clock.now() < latest:
+        now = clock.now()
+        if service.in_flight:
+            quiet_since = now
+        elif now - quiet_since >= quiet_s and now >= earliest:
+            return
+        clock.sleep(POLL_S)
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -13,6 +13,7 @@
 from lacewingmill.cells.history import History
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import PeerError, StoreUnavailable, TransportError
+from lacewingmill.lifecycle import ReadinessLog, wait_until_quiet
 from lacewingmill.membership.heartbeats import Heartbeats
 from lacewingmill.membership.messages import Heartbeat
 from lacewingmill.membership.view import FleetView
@@ -28,7 +29,6 @@
 LIST_EVERY_S = 1.0
 WATCH_WAIT_S = 20.0
 STORE_RETRY_S = 0.5
-STOP_POLL_S = 0.05
 QUIET_BEFORE_STOP_S = 0.3
 
 
@@ -56,7 +56,7 @@
         self._list_read = False
         self._store_answered = False
         self._in_touch_at = clock.now()
-        self._was_ready = False
+        self._readiness = ReadinessLog(log)
         self._stopped = Event()
 
     def attach(
@@ -232,10 +232,7 @@
     def _follow_readiness(self) -> None:
         while True:
             reason = self.why_not_ready()
-            if bool(reason) == self._was_ready:
-                self._was_ready = not reason
-                event = LogEvent.NOT_READY if reason else LogEvent.READY
-                self._log.emit(event, reason=reason)
+            self._readiness.note(reason)
             self._elector.eligible = not reason
             self._clock.sleep(STORE_RETRY_S)
 
@@ -247,13 +244,13 @@
         self._entry_service.drain()
         self._clock.sleep(self._settings.drain_s)
         self._history.commit()  # before the wait below: a slow store must not hide late requests
-        quiet_since = self._clock.now()
-        while self._clock.now() < end:
-            if self._entry_service.in_flight:
-                quiet_since = self._clock.now()
-            elif self._clock.now() - quiet_since >= QUIET_BEFORE_STOP_S:
-                break
-            self._clock.sleep(STOP_POLL_S)
+        wait_until_quiet(
+            self._entry_service,
+            self._clock,
+            QUIET_BEFORE_STOP_S,
+            earliest=self._clock.now(),
+            latest=end,
+        )
         self._entry_service.close()
         self._control_service.close()
         self._log.emit(LogEvent.VM_STOPPED)
