--- a/Makefile
+++ b/Makefile
@@ -13,11 +13,11 @@
 	touch $@
 
 test: setup
-	PYTHONHASHSEED=0 $(BIN)/python -m pytest
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest $(PYTEST_ARGS)
 
 lint: setup
-	$(BIN)/black --check --quiet src standins bench tests
-	$(BIN)/ruff check --quiet src standins bench tests
+	$(BIN)/black --check --quiet src standins bench tests deploy
+	$(BIN)/ruff check --quiet src standins bench tests deploy
 
 demo: setup
 	$(BIN)/python -m bench.demo $(ARGS)
--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -33,7 +33,7 @@
 
 
 class ExitCode:
-    """Exit codes of all commands; docs/OPERATING.md lists them."""
+    """Exit codes of all commands; docs/OPERATIONS.md lists them."""
 
     OK = 0
     FAILED = 1
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,8 +1,11 @@
 """Bounds on the measures and promises, over fixed seeds on virtual time."""
 
+import json
+
 import attrs
 import pytest
 
+from bench.__main__ import main as bench_main
 from bench.measure import POLICIES, measure_run
 from bench.simulate import Simulation
 from bench.workload import DEPLOYMENTS, SCENARIOS, make_workload
@@ -52,3 +55,11 @@
     assert simulation._waiting_for_adjacency(scheduler.cluster) == 2
     scheduler.cluster.allocate("one", half, (Part(nodes[0].worker, 1),))
     assert simulation._waiting_for_adjacency(scheduler.cluster) == 0
+
+
+def test_the_bench_prints_a_run_as_json(monkeypatch, capsys):
+    argv = ["bench", "--json", "--deployment", "guild", "--scenario", "steady", "--no-wall"]
+    monkeypatch.setattr("sys.argv", [*argv, "--policy", "default"])
+    assert bench_main() == 0
+    line = json.loads(capsys.readouterr().out)
+    assert line["deployment"] == "guild" and line["mean_completion_s"] > 0
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -37,7 +37,7 @@
 
 
 def test_exit_codes_are_documented():
-    text = read("docs/OPERATING.md")
+    text = read("docs/OPERATIONS.md")
     for name, code in vars(ExitCode).items():
         if name.isupper():
             assert re.search(rf"^\| {code} \|", text, re.M), name
