Read before a write when the store did not answer, and keep Retry-After within the caller's deadline

After a call without an answer a read comes first, other VMs are asked for 1.2 s at most, and Retry-After stays within a third of the caller's deadline.

--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -60,7 +60,7 @@
     direct = HttpTransactionStore(settings.store, caller, metrics.store_called)
     store = RelayedStore(direct, caller, clock, log, lambda: directory.others(), outside.rng)
     directory = VmDirectory(store, clock, settings.vm, settings.peers)
-    relay = StoreRelay(direct, lambda: store.reached)
+    relay = StoreRelay(direct, store)
     follower = TableFollower(store, clock, log, CONFIGURATION_KEY, decode_configuration)
     parts = DirectorParts(
         store,
--- a/src/lacewingmill/jobs/desk.py
+++ b/src/lacewingmill/jobs/desk.py
@@ -45,10 +45,11 @@
 REFUSALS_BEFORE_ANSWER = 2
 # Part of a caller's time after which it is told that the outcome is not known.
 DEADLINE_SHARE = 0.8
-# When a caller may come back while the store is away: after as long again as it has been away, for
-# callers come back a few times only and outages last for seconds.
+# When a caller may come back while the store is away: after as long again as it has been away, so
+# long as that is not more than a third of the caller's own deadline.
 SHORTEST_RETRY_S = 1.0
 LONGEST_RETRY_S = 4.0
+RETRY_DEADLINE_SHARE = 1 / 3
 OWNER_AWAY_RETRY_S = 1.0
 WAITING_FRESH_S = 0.7
 CANCEL_WAIT_S = 1.2
@@ -118,7 +119,7 @@
             except StoreRefused as exc:
                 refusals += 1
                 if not uncertain and refusals >= REFUSALS_BEFORE_ANSWER:
-                    self._refuse(submission, exc.message)
+                    self._refuse(submission, exc.message, deadline_s)
             except StoreUnavailable:
                 uncertain = True
             if self._clock.now() > end:
@@ -264,10 +265,13 @@
         except (TransportError, NotOwner):
             return  # the owner finds the job in the store within a second
 
-    def _refuse(self, submission: Submission, reason: str) -> None:
+    def _refuse(self, submission: Submission, reason: str, deadline_s: float) -> None:
         self._meters.count(Meter.JOBS, outcome="refused", cause="store")
         self._log.emit(LogEvent.JOB_NOT_ACCEPTED, job=submission.job_id, reason=reason)
-        raise JobRefused(f"the job was not stored: {reason}", retry_s=self._retry_s())
+        raise JobRefused(
+            f"the job was not stored: {reason}",
+            retry_s=max(SHORTEST_RETRY_S, min(self._retry_s(), deadline_s * RETRY_DEADLINE_SHARE)),
+        )
 
     def _retry_s(self) -> float:
         return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, self._store.away_s))
--- a/src/lacewingmill/jobs/relay.py
+++ b/src/lacewingmill/jobs/relay.py
@@ -24,6 +24,7 @@
     TransactionConflict,
     TransportError,
 )
+from lacewingmill.jobs.keys import OWNER_KEY
 from lacewingmill.jobs.ports import Changes, Lease, Record, Transaction, TransactionStore
 from lacewingmill.ports import Clock
 
@@ -35,7 +36,9 @@
 # Most VMs asked for one call; when the store is down for all, more would not help.
 PEERS_ASKED = 3
 # Above the store's own timeout, which the other VM waits for.
-RELAY_TIMEOUT_S = 1.2
+RELAY_TIMEOUT_S = 1.0
+# No further VM is asked after so long, for callers wait about three seconds.
+ASKING_S = 1.2
 T = TypeVar("T")
 
 
@@ -123,6 +126,7 @@
         self._relays_rest_until = 0.0
         self._peer_rests_until: dict[str, float] = {}
         self._answered_at = clock.now()
+        self._suspect = False
         self._helper = ""
         self._relaying = False
 
@@ -162,6 +166,8 @@
 
     def commit(self, transaction: Transaction) -> int:
         """Carry a transaction out and return its revision."""
+        if self._suspect:
+            self._probe()
         return self._call(lambda: self._direct.commit(transaction), transaction, int)
 
     def grant(self, ttl_s: float) -> Lease:
@@ -183,19 +189,22 @@
         :raises StoreUnavailable: when the call may have taken effect.
         """
         uncertain = False
+        began_at = self._clock.now()
         if self._clock.now() >= self._direct_rests_until:
             try:
                 answer = direct()
             except StoreRefused:
-                self._rest_direct()
+                self.rest(suspect=False)
             except StoreUnavailable:
                 uncertain = True
-                self._rest_direct()
+                self.rest(suspect=True)
             else:
                 self._note(relaying=False)
                 return answer
         if self._clock.now() >= self._relays_rest_until:
             for peer in self._choose_peers():
+                if self._clock.now() - began_at > ASKING_S:
+                    break
                 try:
                     answer = self._relay(peer, message, kind)
                 except StoreRefused:
@@ -210,11 +219,29 @@
         error = StoreUnavailable if uncertain else StoreRefused
         raise error("neither the store nor another VM answers", step="store")
 
-    def _rest_direct(self) -> None:
+    def _probe(self) -> None:
+        """Read something before a write, after a call without an answer.
+
+        A write without an answer leaves its caller in doubt; a read does not.
+
+        :raises StoreRefused: when the store does not answer; the write was not sent.
+        """
+        try:
+            self.read(OWNER_KEY)
+        except StoreUnavailable as exc:
+            raise StoreRefused(exc.message, step="probe") from exc
+
+    def rest(self, *, suspect: bool) -> None:
+        """Leave the store alone for a moment.
+
+        :param suspect: whether it did not answer at all.
+        """
+        self._suspect = self._suspect or suspect
         self._direct_rests_until = self._clock.now() + REST_S
 
     def _note(self, *, relaying: bool) -> None:
         self._answered_at = self._clock.now()
+        self._suspect = False
         if relaying is self._relaying:
             return
         self._relaying = relaying
@@ -260,12 +287,12 @@
     """Carries calls out for other VMs, directly only.
 
     :param direct: the store itself.
-    :param reached: whether the store has answered this VM lately.
+    :param store: the store as this VM uses it; it learns when the store does not answer.
     """
 
-    def __init__(self, direct: TransactionStore, reached: Callable[[], bool]):
+    def __init__(self, direct: TransactionStore, store: RelayedStore):
         self._direct = direct
-        self._reached = reached
+        self._store = store
 
     def handle(self, req: HttpRequest) -> HttpAnswer:
         """Answer a call of another VM."""
@@ -273,7 +300,7 @@
             message = decode(req.body, CALLS[req.path])
         except msgspec.DecodeError as exc:
             return HttpAnswer(400, str(exc).encode(), "text/plain")
-        if not self._reached():
+        if not self._store.reached:
             return HttpAnswer(REFUSED)
         try:
             return HttpAnswer(200, encode(self._carry_out(message)))
@@ -284,8 +311,10 @@
         except HistoryLost:
             return HttpAnswer(HISTORY_LOST)
         except StoreRefused:
+            self._store.rest(suspect=False)
             return HttpAnswer(REFUSED)
         except StoreUnavailable:
+            self._store.rest(suspect=True)
             return HttpAnswer(UNANSWERED)
 
     def _carry_out(self, message: Any) -> Any:
--- a/standins/platform/kv.py
+++ b/standins/platform/kv.py
@@ -22,6 +22,7 @@
     """What the store does wrong.
 
     :param down: answers 503 to everybody.
+    :param silent: answers nobody, and does nothing.
     :param turned_away: names of callers that get 503.
     :param slow_s: added before each answer, in seconds.
     :param lose_writes: number of transactions that take effect and are not answered.
@@ -30,6 +31,7 @@
     """
 
     down: bool = False
+    silent: bool = False
     turned_away: set[str] = attrs.field(factory=set)
     slow_s: float = 0.0
     lose_writes: int = 0
@@ -75,6 +77,8 @@
         url = urlsplit(target)
         name = url.path.split("/")[1]
         self.calls[name] = self.calls.get(name, 0) + 1
+        if self.faults.silent:
+            return None
         if self.faults.slow_s:
             self._clock.sleep(self.faults.slow_s)
         if self.faults.down or caller in self.faults.turned_away:
