--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint demo up bench faults binary
+.PHONY: setup test lint demo demo-platform up bench faults binary
 
 setup: $(VENV)/ready
 
@@ -22,6 +22,9 @@
 demo: setup
 	$(BIN)/python -m bench.demo $(ARGS)
 
+demo-platform: setup
+	$(BIN)/python -m bench.platform_demo
+
 up: setup
 	$(BIN)/python -m bench.demo --stay $(ARGS)
 
--- /dev/null
+++ b/bench/platform_demo.py
@@ -0,0 +1,208 @@
+"""Runs VMs as processes against the emulated platform on loopback and shows what became of jobs."""
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import gevent
+
+from lacewingmill.adapters.clock import GeventClock
+from lacewingmill.adapters.http_client import HttpCaller
+from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest, HttpService
+from lacewingmill.exceptions import TransportError
+from standins.platform import Executor, KvStore, Operator, RunBook, configuration
+from standins.platform.executors import JobFacts
+from standins.platform.operator import HOST, SERVICE
+
+BASE_PORT = 24100
+VMS = 3
+EXECUTORS = 4
+PORTS_A_VM = 10
+JOBS = 12
+CALL_TIMEOUT_S = 3.0
+READY_S = 20.0
+LONGEST_S = 60.0
+POLL_S = 0.2
+
+
+class Demo:
+    """The emulated platform on loopback, and VMs beside it as processes of their own."""
+
+    def __init__(self, folder: Path):
+        clock = GeventClock()
+        self._folder = folder
+        self._caller = HttpCaller()
+        self._store = KvStore(clock)
+        self._book = RunBook()
+        self._vms: list[subprocess.Popen] = []
+        operator = Operator(self._store)
+        self._serve(BASE_PORT, self._answer_store)
+        for number in range(EXECUTORS):
+            executor = self._executor(number, clock)
+            operator.register(executor)
+        operator.configure(configuration(1))
+
+    @property
+    def book(self) -> RunBook:
+        """What the executors ran."""
+        return self._book
+
+    def start(self) -> None:
+        """Start the VMs and wait until one directs the jobs."""
+        for number in range(VMS):
+            path = self._folder / f"vm{number}.conf"
+            path.write_text(settings(number))
+            command = [sys.executable, "-m", "lacewingmill", "serve-jobs", "--settings", str(path)]
+            with (self._folder / f"vm{number}.log").open("wb") as log:
+                self._vms.append(subprocess.Popen(command, stdout=log))
+        with gevent.Timeout(READY_S):
+            while not self._store.keys("lacewingmill/workers"):
+                gevent.sleep(POLL_S)
+
+    def stop(self) -> list[int]:
+        """Stop the VMs as planned and return their exit codes."""
+        for vm in self._vms:
+            vm.terminate()
+        return [vm.wait(timeout=10) for vm in self._vms]
+
+    def call(self, vm: int, method: str, path: str, body: dict | None = None) -> tuple[int, dict]:
+        """Send one call of a consumer."""
+        try:
+            reply = self._caller.call(
+                f"127.0.0.1:{front_port(vm)}",
+                method,
+                path,
+                body=json.dumps(body or {}).encode(),
+                headers={"Host": HOST, "Authorization": "Token key-a"},
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except TransportError as exc:
+            return 0, {"error": exc.message}
+        return reply.status, json.loads(reply.body)
+
+    def submit(self, vm: int, queue: str, job_id: str, steps: list[dict], spec: str) -> int:
+        """Hand a job in."""
+        self._book.jobs[job_id] = JobFacts(steps)
+        return self.call(vm, "POST", f"/{queue}/{job_id}", {"spec": spec, "steps": steps})[0]
+
+    def _serve(self, port: int, handle) -> None:
+        HttpService(f"127.0.0.1:{port}", handle).start()
+
+    def _answer_store(self, req: HttpRequest) -> HttpAnswer:
+        target = f"{req.path}?{req.query}" if req.query else req.path
+        status, body = self._store.handle(req.connection, req.method, target, req.body)
+        return HttpAnswer(status, json.dumps(body).encode())
+
+    def _executor(self, number: int, clock: GeventClock) -> Executor:
+        port = BASE_PORT + 1 + number
+        entry = {
+            "service": SERVICE,
+            "addr": f"127.0.0.1:{port}",
+            "zone": f"z{number // 2}",
+            "capacity": {"cpu": 32000, "mem_mb": 131072, "gpu": 8},
+            "labels": ["a", f"r{number // 2}"],
+        }
+        executor = Executor(f"i-{number}", entry, clock, self._book)
+
+        def answer(req: HttpRequest) -> HttpAnswer:
+            status, body = executor.handle(req.path, {}, req.body)
+            return HttpAnswer(status, json.dumps(body).encode())
+
+        self._serve(port, answer)
+        return executor
+
+
+def front_port(vm: int) -> int:
+    """Return the port of a VM for callers."""
+    return BASE_PORT + 100 + vm * PORTS_A_VM
+
+
+def settings(vm: int) -> str:
+    """Return a settings file as the platform writes it."""
+    port = front_port(vm)
+    fields = {
+        "node": f"vm{vm}",
+        "zone": "z0",
+        "ip": "127.0.0.1",
+        "listen.front": f"127.0.0.1:{port}",
+        "listen.ready": f"127.0.0.1:{port + 1}",
+        "port_range": f"{port + 2},{port + 9}",
+        "bounds.drain_ms": 2000,
+        "bounds.grace_s": 6,
+        "bounds.stop_timeout_ms": 400,
+        "bounds.gang_timeout_ms": 3000,
+        "bounds.max_hold_ms": 6000,
+        "bounds.status_s": 120,
+        "bounds.remote_penalty": 3,
+        "bounds.early_ms": 250,
+        "platform.addr": f"127.0.0.1:{BASE_PORT}",
+        "platform.min_ttl_ms": 1000,
+    }
+    return "".join(f"{name}={value}\n" for name, value in fields.items())
+
+
+def make_jobs() -> list[tuple[str, list[dict], str]]:
+    """Return queue, steps and spec of each job."""
+    task = {"cpu": 1000, "mem_mb": 1024, "gpu": 1, "est_runtime_ms": 1500}
+    batch = [{**task, "count": 6}, {**task, "count": 2, "after": [0]}]
+    gang = [{**task, "count": 2, "gpu": 8, "gang": True}]
+    kinds = [("patient", batch), ("ordinary", gang), ("urgent", gang)]
+    return [(*kinds[number % len(kinds)], "run_s=1.5") for number in range(JOBS)]
+
+
+def main() -> int:
+    """Run the demonstration; the exit code tells whether all promises held."""
+    parser = argparse.ArgumentParser(prog="bench.platform_demo", description=__doc__)
+    parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        demo = Demo(Path(folder))
+        demo.start()
+        print(f"{VMS} VMs, {EXECUTORS} workers, a store, on loopback")
+        accepted = {}
+        for number, (queue, steps, spec) in enumerate(make_jobs()):
+            job_id = f"{number:016x}"
+            if demo.submit(number % VMS, queue, job_id, steps, spec) == 200:
+                accepted[job_id] = queue
+        states = wait_for_ends(demo, accepted)
+        codes = demo.stop()
+    return report(demo.book, accepted, states, codes)
+
+
+def wait_for_ends(demo: Demo, accepted: dict[str, str]) -> dict[str, str]:
+    """Ask for each job at any VM until all are over."""
+    states: dict[str, str] = {}
+    ends_at = GeventClock().now() + LONGEST_S
+    while len(states) < len(accepted) and GeventClock().now() < ends_at:
+        gevent.sleep(POLL_S)
+        for number, (job_id, queue) in enumerate(accepted.items()):
+            if job_id in states:
+                continue
+            _, body = demo.call(number % VMS, "GET", f"/{queue}/{job_id}")
+            if body.get("state") in ("completed", "failed"):
+                states[job_id] = body["state"]
+    return states
+
+
+def report(
+    book: RunBook, accepted: dict[str, str], states: dict[str, str], codes: list[int]
+) -> int:
+    """Print what happened and return 0 when all promises held."""
+    completed = sum(1 for state in states.values() if state == "completed")
+    twice = len(book.overlaps()) + len(book.repeated())
+    rows = (
+        ("jobs accepted", len(accepted)),
+        ("jobs completed", completed),
+        ("tasks run", len(book.runs)),
+        ("tasks run twice", twice),
+        ("exit codes of the VMs", " ".join(map(str, codes))),
+    )
+    for name, value in rows:
+        print(f"  {name:24}{value!s:>10}")
+    return 0 if completed == len(accepted) == JOBS and not twice and not any(codes) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
