Share how VMs are stopped; read only the settings that are used

EntryVm and JobVm had the same wait and begin_stop; StoppableVm holds them. Six fields of the platform's settings were decoded and read by nothing, so a missing one would have kept a VM from starting for no reason. Behaviour is otherwise as before.

--- a/bench/platform_demo.py
+++ b/bench/platform_demo.py
@@ -130,16 +130,10 @@
         "listen.front": f"127.0.0.1:{port}",
         "listen.ready": f"127.0.0.1:{port + 1}",
         "port_range": f"{port + 2},{port + 9}",
-        "bounds.drain_ms": 2000,
         "bounds.grace_s": 6,
-        "bounds.stop_timeout_ms": 400,
-        "bounds.gang_timeout_ms": 3000,
         "bounds.max_hold_ms": 6000,
         "bounds.status_s": 120,
-        "bounds.remote_penalty": 3,
-        "bounds.early_ms": 250,
         "platform.addr": f"127.0.0.1:{BASE_PORT}",
-        "platform.min_ttl_ms": 1000,
     }
     return "".join(f"{name}={value}\n" for name, value in fields.items())
 
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -2,7 +2,6 @@
 
 import attrs
 import gevent
-from gevent.event import Event
 
 from lacewingmill.adapters.http_server import HttpService
 from lacewingmill.events import EventLog, LogEvent
@@ -15,7 +14,7 @@
 from lacewingmill.jobs.roster import Roster
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.jobs.table_follower import TableFollower
-from lacewingmill.lifecycle import ReadinessLog, wait_until_quiet
+from lacewingmill.lifecycle import ReadinessLog, StoppableVm, wait_until_quiet
 from lacewingmill.ports import Clock
 
 __all__ = ["JobVm"]
@@ -31,7 +30,7 @@
 EXIT_MARGIN_S = 0.9
 
 
-class JobVm:
+class JobVm(StoppableVm):
     """Runs one VM until it is stopped."""
 
     def __init__(
@@ -44,6 +43,7 @@
         roster_of,
         directory: VmDirectory,
     ):
+        super().__init__()
         self._settings = settings
         self._parts = parts
         self._clock = clock
@@ -51,8 +51,6 @@
         self._follower = follower
         self._roster_of = roster_of
         self._directory = directory
-        self._stopping = False
-        self._stopped = Event()
         self._readiness = ReadinessLog(log)
         self._loops: list[gevent.Greenlet] = []
         self.director: Director | None = None
@@ -83,16 +81,6 @@
             gevent.spawn(loop)
         self._log.emit(LogEvent.VM_STARTED, listen=self._settings.front)
 
-    def wait(self) -> None:
-        """Wait until a planned stop is complete."""
-        self._stopped.wait()
-
-    def begin_stop(self) -> None:
-        """Begin a planned stop; used by signal handlers, so it returns at once."""
-        if not self._stopping:
-            self._stopping = True
-            gevent.spawn(self._stop)
-
     def reload(self, settings: JobVmSettings) -> None:
         """Take changed settings in; addresses are bound until the process starts anew."""
         before, self._settings = self._settings, settings
--- a/src/lacewingmill/lifecycle.py
+++ b/src/lacewingmill/lifecycle.py
@@ -1,11 +1,15 @@
 """What every VM does at its start, while it turns ready or not, and at a planned stop."""
 
+from abc import ABC, abstractmethod
 from typing import Protocol
 
+import gevent
+from gevent.event import Event
+
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.ports import Clock
 
-__all__ = ["ReadinessLog", "wait_until_quiet"]
+__all__ = ["ReadinessLog", "StoppableVm", "wait_until_quiet"]
 
 POLL_S = 0.05
 
@@ -32,6 +36,28 @@
         self._log.emit(LogEvent.READY if ready else LogEvent.NOT_READY, reason=reason)
 
 
+class StoppableVm(ABC):
+    """A VM that is stopped as planned, once."""
+
+    def __init__(self):
+        self._stopping = False
+        self._stopped = Event()
+
+    def wait(self) -> None:
+        """Wait until a planned stop is complete."""
+        self._stopped.wait()
+
+    def begin_stop(self) -> None:
+        """Begin a planned stop; used by signal handlers, so it returns at once."""
+        if not self._stopping:
+            self._stopping = True
+            gevent.spawn(self._stop)
+
+    @abstractmethod
+    def _stop(self) -> None:
+        """Finish what is in flight and set ``_stopped``."""
+
+
 def wait_until_quiet(
     service: Serving, clock: Clock, quiet_s: float, *, earliest: float, latest: float
 ) -> None:
--- a/src/lacewingmill/platform/settings.py
+++ b/src/lacewingmill/platform/settings.py
@@ -33,18 +33,10 @@
         metrics=f"{host}:{int(peer_port) + 1}",
         store=fields.text("platform.addr"),
         limits=PlatformLimits(
-            # drain_ms: how long a leaving worker goes on after it said so.
-            drain_s=fields.seconds("bounds.drain_ms"),
             # grace_s: from SIGTERM to SIGKILL.
             grace_s=fields.number("bounds.grace_s"),
-            stop_s=fields.seconds("bounds.stop_timeout_ms"),
-            # gang_timeout_ms: how long a member waits for the rest of its gang.
-            gang_wait_s=fields.seconds("bounds.gang_timeout_ms"),
             longest_hold_s=fields.seconds("bounds.max_hold_ms"),
             kept_s=fields.number("bounds.status_s"),
-            remote_factor=fields.number("bounds.remote_penalty"),
-            early_s=fields.seconds("bounds.early_ms"),
-            least_lease_s=fields.seconds("platform.min_ttl_ms"),
         ),
     )
 
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -1,7 +1,6 @@
 """One entry VM: its parts and the loops that keep it current."""
 
 import gevent
-from gevent.event import Event
 
 from lacewingmill.adapters.http_client import HttpCaller
 from lacewingmill.adapters.http_server import HttpService
@@ -13,7 +12,7 @@
 from lacewingmill.cells.history import History
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import PeerError, StoreUnavailable, TransportError
-from lacewingmill.lifecycle import ReadinessLog, wait_until_quiet
+from lacewingmill.lifecycle import ReadinessLog, StoppableVm, wait_until_quiet
 from lacewingmill.membership.heartbeats import Heartbeats
 from lacewingmill.membership.messages import Heartbeat
 from lacewingmill.membership.view import FleetView
@@ -32,7 +31,7 @@
 QUIET_BEFORE_STOP_S = 0.3
 
 
-class EntryVm:
+class EntryVm(StoppableVm):
     """Runs one entry VM until it is stopped."""
 
     def __init__(
@@ -45,6 +44,7 @@
         vm_list: VmList,
         fleet: FleetView,
     ):
+        super().__init__()
         self._settings = settings
         self._clock = clock
         self._log = log
@@ -52,12 +52,10 @@
         self._store = store
         self._vm_list = vm_list
         self._fleet = fleet
-        self._stopping = False
         self._list_read = False
         self._store_answered = False
         self._in_touch_at = clock.now()
         self._readiness = ReadinessLog(log)
-        self._stopped = Event()
 
     def attach(
         self,
@@ -96,16 +94,6 @@
             gevent.spawn(loop)
         self._log.emit(LogEvent.VM_STARTED, listen=self._settings.listen)
 
-    def wait(self) -> None:
-        """Wait until a planned stop is complete."""
-        self._stopped.wait()
-
-    def begin_stop(self) -> None:
-        """Begin a planned stop; used by signal handlers, so it returns at once."""
-        if not self._stopping:
-            self._stopping = True
-            gevent.spawn(self._stop)
-
     def why_not_ready(self) -> str:
         """Return why callers should go elsewhere, or an empty string."""
         if self._stopping:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -10,7 +10,7 @@
 from tests.fakes import VirtualClock
 
 STORE = "10.9.0.1:1"
-LIMITS = PlatformLimits(2.0, 6.0, 0.4, 3.0, 6.0, 120.0, 3.0, 0.25, 1.0)
+LIMITS = PlatformLimits(grace_s=6.0, longest_hold_s=6.0, kept_s=120.0)
 
 
 class PlatformFleet:
