Ask which workers may run a step of an advised queue, and start it with their tickets

A step's workers are asked for once, one call at a time; a ticket is asked for again when it has run out; a unit that a worker bars is withdrawn and queued for the workers that may run it.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -65,6 +65,11 @@
     UNIT_REJECTED = (421, "warning", "A worker did not start a member; the unit is placed anew.")
     UNIT_EVICTED = (422, "info", "A unit gives its workers back to another one.")
     UNIT_PARKED = (423, "warning", "No set of workers could hold a unit; it is tried again later.")
+    ADVICE_MISSING = (
+        427,
+        "warning",
+        "The advice service did not say which workers may run a unit.",
+    )
     RUN_ENDED = (424, "info", "A worker has listed the end of a run.")
     STRAY_STOPPED = (425, "warning", "A worker ran what nobody wants; it was stopped.")
     WORKER_SILENT = (430, "warning", "A worker does not answer or is not well; it gets no work.")
--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -26,6 +26,7 @@
     CONFIGURATION_KEY,
     WORKER_PREFIX,
     FrontHandler,
+    HttpAdvisor,
     HttpTransactionStore,
     HttpWorkerOrders,
     ReadyHandler,
@@ -65,6 +66,7 @@
     parts = DirectorParts(
         store,
         HttpWorkerOrders(caller),
+        HttpAdvisor(settings.advice, caller) if settings.advice else None,
         clock,
         log,
         metrics,
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -6,8 +6,10 @@
 import attrs
 import gevent
 from gevent.event import Event as Signal
+from gevent.lock import BoundedSemaphore
 
 from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.jobs.advice_book import AdviceBook
 from lacewingmill.jobs.election import Tenure
 from lacewingmill.jobs.graph import JobGraph, Progress
 from lacewingmill.jobs.job_book import JobBook
@@ -15,6 +17,7 @@
 from lacewingmill.jobs.messages import WorkersUsed
 from lacewingmill.jobs.model import QueueTable, Submission, Unit
 from lacewingmill.jobs.ports import (
+    Advisor,
     HoldReport,
     RunListed,
     TransactionStore,
@@ -54,6 +57,7 @@
 
     store: TransactionStore
     orders: WorkerOrders
+    advisor: Advisor | None
     clock: Clock
     log: EventLog
     meters: Meters
@@ -77,11 +81,13 @@
         self._began_at = clock.now()
         self._parked: dict[str, Unit] = {}
         self._stopped = False
+        self._advising = BoundedSemaphore(1)  # the service takes one call at a time from a VM
         self._loops: list[gevent.Greenlet] = []
         self.tenure = tenure
         self.open = False
         self.ledger = Ledger(parts.store, clock, tenure.fence, self._committed, self.fenced)
         self.book = JobBook(self.ledger, clock, meters)
+        self._advice = AdviceBook(parts.advisor, clock, log)
         self._planner = UnitPlanner(clock, parts.table, self._act)
         self.pool = WorkerPool(parts.orders, self.ledger, self._planner, log, self._connect)
         self._runner = UnitRunner(
@@ -90,12 +96,16 @@
             log,
             meters,
             self.book,
+            self._advice,
             self._planner,
             self.pool.find,
             self._end_job,
             self._open_units,
+            self._queue,
+        )
+        self._takeover = Takeover(
+            tenure.fence, clock, self.book, self._planner, self._runner, self._queue
         )
-        self._takeover = Takeover(tenure.fence, clock, self.book, self._planner, self._runner)
 
     @property
     def backlog(self) -> int:
@@ -239,11 +249,29 @@
         if not self.open:
             return
         for unit in graph.open_units(self._clock.wall()):
-            self._planner.queue(graph, unit)
+            self._queue(unit)
 
     def _queue(self, unit: Unit) -> None:
-        if self.book.wants(unit):
-            self._planner.queue(self.book.graphs[unit.job_id], unit)
+        if not self.book.wants(unit):
+            return
+        graph = self.book.graphs[unit.job_id]
+        if graph.submission.advised:
+            gevent.spawn(self._queue_advised, graph, unit)
+        else:
+            self._planner.queue(graph, unit)
+
+    def _queue_advised(self, graph: JobGraph, unit: Unit) -> None:
+        """Queue a unit for the workers that may run it; the service takes its time for each."""
+        with self._advising:
+            if not self._advice.workers(unit):
+                self._advice.ask(unit, self.pool.names(graph.submission.service))
+        if self._stopped or not self.book.wants(unit):
+            return
+        workers = self._advice.workers(unit)
+        if workers:
+            self._planner.queue(graph, unit, workers)
+        else:
+            self._parked[unit.unit_id] = unit
 
     def _end_job(self, graph: JobGraph) -> Signal:
         """Store a final state and give back all that the job holds."""
@@ -251,6 +279,7 @@
         self._log.emit(LogEvent.JOB_ENDED, job=job_id, state=graph.state.value)
         signal = self.book.store(graph)
         self._runner.cancel_job(graph)
+        self._advice.forget(job_id)
         self._planner.withdraw_job(graph, self._runner.held())
         return signal
 
--- a/src/lacewingmill/jobs/model.py
+++ b/src/lacewingmill/jobs/model.py
@@ -102,6 +102,7 @@
     :param stretch: a job is due after this multiple of its longest chain of work.
     :param objective_s: time allowed beside that, in seconds.
     :param public: whether callers need no key.
+    :param advised: whether only some workers may run a step, which the advice service knows.
     """
 
     name: str
@@ -113,6 +114,7 @@
     stretch: float
     objective_s: float
     public: bool = False
+    advised: bool = False
 
 
 @attrs.frozen
@@ -151,6 +153,7 @@
 
     :param spec: text that each task is started with.
     :param accepted_at: wall-clock time of acceptance, in seconds since the epoch.
+    :param advised: whether each start needs a ticket of the advice service.
     """
 
     job_id: str
@@ -165,6 +168,7 @@
     steps: tuple[Step, ...]
     timing: JobTiming = JobTiming()
     accepted_at: float = 0.0
+    advised: bool = False
 
     def chain_s(self) -> float:
         """Return the declared time of the longest chain of steps, in seconds."""
--- a/src/lacewingmill/jobs/planning.py
+++ b/src/lacewingmill/jobs/planning.py
@@ -75,8 +75,11 @@
     return GuaranteesChanged((), (), mix, quotas)
 
 
-def unit_job(graph: JobGraph, unit: Unit, clock: Clock) -> Job:
-    """Return a unit as the scheduler sees it."""
+def unit_job(graph: JobGraph, unit: Unit, clock: Clock, only: frozenset[str] | None = None) -> Job:
+    """Return a unit as the scheduler sees it.
+
+    :param only: the workers that may run it; ``None`` for all.
+    """
     submission = graph.submission
     step = submission.steps[unit.step]
     now = clock.now()
@@ -99,6 +102,7 @@
             f"{unit.job_id}/{unit.occurrence}/{unit.step}",
             step.max_per_worker,
             step.same_rack and len(unit.indexes) > 1,
+            only,
         ),
         objective=Objective(
             submission.priority,
--- a/src/lacewingmill/jobs/ports.py
+++ b/src/lacewingmill/jobs/ports.py
@@ -8,6 +8,8 @@
 from lacewingmill.jobs.model import TaskId
 
 __all__ = [
+    "Advice",
+    "Advisor",
     "Change",
     "Changes",
     "HoldOrder",
@@ -237,6 +239,7 @@
 
     :param until: end of the lease on the worker's clock, in seconds.
     :param saved: checkpoint to resume from; empty for none.
+    :param ticket: proof that the worker may run the step; empty where none is asked for.
     """
 
     task: TaskId
@@ -245,6 +248,28 @@
     until: float
     fence: int
     saved: str
+    ticket: str = ""
+
+
+@attrs.frozen
+class Advice:
+    """Workers that may run a step, each with its ticket.
+
+    :param valid_s: how long the tickets can be used, in seconds.
+    """
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class Advisor(Protocol):
+    """Knows which workers may run a step of an advised queue."""
+
+    def advise(self, task: TaskId, workers: list[str], *, timeout_s: float) -> Advice:
+        """Return the tickets of those workers that may run the step of a task.
+
+        :raises TransportError: when no usable answer came.
+        """
 
 
 class StartOutcome(enum.Enum):
@@ -254,6 +279,7 @@
     SUPERSEDED = "superseded"
     LATE = "late"
     NO_ROOM = "no_room"
+    NO_TICKET = "no_ticket"
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
 
--- a/src/lacewingmill/jobs/settings.py
+++ b/src/lacewingmill/jobs/settings.py
@@ -28,6 +28,7 @@
     :param peers: ``host:port`` for the other VMs.
     :param metrics: ``host:port`` of the metrics.
     :param store: ``host:port`` of the store.
+    :param advice: ``host:port`` of the advice service; empty where there is none.
     """
 
     vm: str
@@ -38,3 +39,4 @@
     metrics: str
     store: str
     limits: PlatformLimits
+    advice: str = ""
--- a/src/lacewingmill/jobs/takeover.py
+++ b/src/lacewingmill/jobs/takeover.py
@@ -1,5 +1,7 @@
 """What a new owner finds: runs to go on with, and units that may still run unseen."""
 
+from collections.abc import Callable
+
 import gevent
 
 from lacewingmill.jobs.graph import JobGraph
@@ -21,16 +23,24 @@
     """Adopts what runs when a tenure begins.
 
     :param fence: jobs accepted later were never started by an earlier owner.
+    :param queue: called with each unit that is to wait for workers.
     """
 
     def __init__(
-        self, fence: int, clock: Clock, book: JobBook, planner: UnitPlanner, runner: UnitRunner
+        self,
+        fence: int,
+        clock: Clock,
+        book: JobBook,
+        planner: UnitPlanner,
+        runner: UnitRunner,
+        queue: Callable[[Unit], None],
     ):
         self._fence = fence
         self._clock = clock
         self._book = book
         self._planner = planner
         self._runner = runner
+        self._queue = queue
         self._found: dict[str, FoundRuns] = {}
         self._held_back: dict[str, Unit] = {}
 
@@ -84,7 +94,7 @@
             elif hidden_until:
                 self._held_back[unit.unit_id] = unit
             else:
-                self._planner.queue(graph, unit)
+                self._queue(unit)
 
     def _adopt_unit(self, unit: Unit, runs: FoundRuns, hidden_until: float) -> None:
         """Go on with a unit that runs.
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -62,9 +62,13 @@
         for service in self._schedulers:
             self.feed(service, event)
 
-    def queue(self, graph: JobGraph, unit: Unit) -> None:
-        """Let a unit wait for workers."""
-        self.feed(graph.submission.service, JobSubmitted(unit_job(graph, unit, self._clock)))
+    def queue(self, graph: JobGraph, unit: Unit, only: frozenset[str] | None = None) -> None:
+        """Let a unit wait for workers.
+
+        :param only: the workers that may run it; ``None`` for all.
+        """
+        job = unit_job(graph, unit, self._clock, only)
+        self.feed(graph.submission.service, JobSubmitted(job))
 
     def withdraw_job(self, graph: JobGraph, held: set[str]) -> None:
         """Take back the units of a job that wait.
--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -6,6 +6,7 @@
 from gevent.event import Event as Signal
 
 from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.jobs.advice_book import AdviceBook
 from lacewingmill.jobs.election import Tenure
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.job_book import JobBook
@@ -31,10 +32,13 @@
 RUNS_PER_TERM = 1000
 NOTHING_RAN = (
     StartResult.NO_ROOM,
+    StartResult.NO_TICKET,
     StartResult.UNHEALTHY,
     StartResult.INVALID,
     StartResult.SUPERSEDED,
 )
+# What closes a unit for good or anew, whatever it was being closed for before.
+DECISIVE = (Closing.FAILED, Closing.CANCELLED, Closing.FINISHED, Closing.BARRED)
 
 
 class UnitRunner:
@@ -43,6 +47,7 @@
     :param find_link: returns the link to a worker.
     :param ended: called with a job that reached a final state; returns when that is stored.
     :param advanced: called with a job whose next steps may begin.
+    :param requeue: called with a unit whose workers are to be asked for anew.
     """
 
     def __init__(
@@ -52,20 +57,24 @@
         log: EventLog,
         meters: Meters,
         book: JobBook,
+        advice: AdviceBook,
         planner: UnitPlanner,
         find_link: Callable[[str], WorkerLink | None],
         ended: Callable[[JobGraph], Signal],
         advanced: Callable[[JobGraph], None],
+        requeue: Callable[[Unit], None],
     ):
         self._first_run = (tenure.owner.term - 1) * RUNS_PER_TERM
         self._clock = clock
         self._log = log
         self._meters = meters
         self._book = book
+        self._advice = advice
         self._planner = planner
         self._find_link = find_link
         self._ended = ended
         self._advanced = advanced
+        self._requeue = requeue
         self._active: dict[str, ActiveUnit] = {}
         self._runs: dict[str, int] = {}
 
@@ -179,7 +188,7 @@
     def close(self, active: ActiveUnit, why: Closing, blamed: str) -> None:
         """Give a unit's workers back; the planner hears of it when no member is left."""
         first = active.closing is None
-        if first or why in (Closing.FAILED, Closing.CANCELLED, Closing.FINISHED):
+        if first or why in DECISIVE:
             active.closing = why if active.closing is not Closing.FINISHED else Closing.FINISHED
             active.blamed = blamed or active.blamed
         # The members of a gang that is done or has failed end by themselves.
@@ -194,7 +203,10 @@
         graph = active.graph
         saved = graph.saved.get(active.unit.task(active.unit.indexes[0]), "")
         sent_at = self._clock.now()
-        result = link.start(member, graph.submission.spec, saved)
+        ticket = self._advice.ticket(active.unit, link.worker) if graph.submission.advised else ""
+        result = link.start(member, graph.submission.spec, saved, ticket)
+        if result is StartResult.NO_TICKET:
+            self._advice.refused(active.unit, link.worker)
         self._meters.count(Meter.ORDERS, outcome=result.value)
         self._meters.observe(Meter.ORDER, self._clock.now() - sent_at)
         if member.state is MemberState.RUNNING:
@@ -223,7 +235,8 @@
                 worker=member.worker,
                 reason=result.value,
             )
-        self.close(active, Closing.REJECTED, member.worker)
+        barred = result is StartResult.NO_TICKET
+        self.close(active, Closing.BARRED if barred else Closing.REJECTED, member.worker)
 
     def _finish(self, unit: Unit, active: ActiveUnit | None) -> Signal | None:
         graph = self._book.graphs[unit.job_id]
@@ -300,9 +313,11 @@
             self._planner.feed(service, JobFinished(unit_id, ran_s))
         elif active.closing is Closing.FAILED and not over:
             self._planner.feed(service, JobFailed(unit_id, active.blamed))
-        elif over or active.closing is Closing.CANCELLED:
+        elif over or active.closing in (Closing.CANCELLED, Closing.BARRED):
             self._planner.feed(service, JobCancelled(unit_id))
             self._planner.feed(service, GangReleased(unit_id, 0.0))
+            if active.closing is Closing.BARRED:
+                self._requeue(active.unit)
         elif active.closing is Closing.EVICTED:
             saved = active.step.checkpoint and active.started_at
             saved_s = self._clock.now() - active.started_at if saved else 0.0
--- a/src/lacewingmill/jobs/units.py
+++ b/src/lacewingmill/jobs/units.py
@@ -28,6 +28,7 @@
     FINISHED = "finished"
     EVICTED = "evicted"
     REJECTED = "rejected"
+    BARRED = "barred"
     FAILED = "failed"
     LOST = "lost"
     CANCELLED = "cancelled"
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -51,6 +51,7 @@
     STARTED = "started"
     SUPERSEDED = "superseded"
     NO_ROOM = "no_room"
+    NO_TICKET = "no_ticket"
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
     UNKNOWN = "unknown"
@@ -60,6 +61,7 @@
     StartOutcome.STARTED: StartResult.STARTED,
     StartOutcome.SUPERSEDED: StartResult.SUPERSEDED,
     StartOutcome.NO_ROOM: StartResult.NO_ROOM,
+    StartOutcome.NO_TICKET: StartResult.NO_TICKET,
     StartOutcome.UNHEALTHY: StartResult.UNHEALTHY,
     StartOutcome.INVALID: StartResult.INVALID,
 }
@@ -159,7 +161,7 @@
         self._look = True
         self._wake.set()
 
-    def start(self, member: Member, spec: str, saved: str) -> StartResult:
+    def start(self, member: Member, spec: str, saved: str, ticket: str = "") -> StartResult:
         """Send a start, again while it is not answered, and return what became of it."""
         with self._slots:
             if member.state is not MemberState.PLANNED:
@@ -169,7 +171,7 @@
                 if not self._tenure.valid or member.gone or member.stopped_at:
                     return StartResult.UNKNOWN
                 try:
-                    answer = self._send_start(member, spec, saved)
+                    answer = self._send_start(member, spec, saved, ticket)
                 except FenceRejected:
                     self._listener.fenced()
                     return StartResult.UNKNOWN
@@ -185,9 +187,10 @@
             self._fail()
             return StartResult.UNKNOWN
 
-    def _send_start(self, member: Member, spec: str, saved: str) -> StartAnswer:
+    def _send_start(self, member: Member, spec: str, saved: str, ticket: str) -> StartAnswer:
         until = self._lease.extend()
-        order = StartOrder(member.task, member.run, spec, until, self._tenure.fence, saved)
+        fence = self._tenure.fence
+        order = StartOrder(member.task, member.run, spec, until, fence, saved, ticket)
         if member.state is MemberState.PLANNED:
             member.state = MemberState.ORDERED
         answer = self._orders.start(self.entry, order, timeout_s=ORDER_TIMEOUT_S)
--- a/src/lacewingmill/platform/__init__.py
+++ b/src/lacewingmill/platform/__init__.py
@@ -5,6 +5,7 @@
 never be on the import path.
 """
 
+from lacewingmill.platform.advice import HttpAdvisor
 from lacewingmill.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from lacewingmill.platform.front import FrontHandler, ReadyHandler
 from lacewingmill.platform.orders import HttpWorkerOrders
@@ -15,6 +16,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "FrontHandler",
+    "HttpAdvisor",
     "HttpTransactionStore",
     "HttpWorkerOrders",
     "ReadyHandler",
--- a/src/lacewingmill/platform/configuration.py
+++ b/src/lacewingmill/platform/configuration.py
@@ -22,6 +22,7 @@
     attempts: int = 1
     stretch: float = 1.0
     public: bool = False
+    advice: dict[str, float] | None = None
 
 
 @attrs.frozen
@@ -68,4 +69,5 @@
         route.stretch,
         route.slo_ms / 1000,
         route.public,
+        route.advice is not None,
     )
--- a/src/lacewingmill/platform/orders.py
+++ b/src/lacewingmill/platform/orders.py
@@ -31,7 +31,7 @@
     "old": StartOutcome.SUPERSEDED,
     "late": StartOutcome.LATE,
     "room": StartOutcome.NO_ROOM,
-    "ticket": StartOutcome.UNHEALTHY,
+    "ticket": StartOutcome.NO_TICKET,
 }
 
 
@@ -66,6 +66,8 @@
         }
         if order.saved:
             body["saved"] = order.saved
+        if order.ticket:
+            body["ticket"] = order.ticket
         reply = self._call(entry, "/run-start", body, timeout_s)
         answer = _decode(reply, _Refused, entry) if reply.body else _Refused()
         clock_s = answer.clock_ms / 1000
--- a/src/lacewingmill/platform/settings.py
+++ b/src/lacewingmill/platform/settings.py
@@ -32,6 +32,7 @@
         peers=f"{host}:{peer_port}",
         metrics=f"{host}:{int(peer_port) + 1}",
         store=fields.text("platform.addr"),
+        advice=fields.optional("advice"),
         limits=PlatformLimits(
             # grace_s: from SIGTERM to SIGKILL.
             grace_s=fields.number("bounds.grace_s"),
@@ -66,6 +67,10 @@
             raise SettingsError(f"field {name} is missing", step="settings")
         return value
 
+    def optional(self, name: str) -> str:
+        """Return a field that may be missing or empty."""
+        return self._fields.get(name, "")
+
     def number(self, name: str) -> float:
         """Return a field as a number."""
         value = self.text(name)
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -132,6 +132,7 @@
     :param max_per_worker: most members of the group on one worker; 0 for no limit.
     :param same_rack: whether a gang slows down when it spans racks; it does so only when it has
         waited for long or no rack can hold it.
+    :param only: the workers that may be used; ``None`` for all.
     """
 
     label: str = ""
@@ -139,6 +140,7 @@
     group: str = ""
     max_per_worker: int = 0
     same_rack: bool = False
+    only: frozenset[str] | None = None
 
 
 @attrs.frozen
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -255,6 +255,8 @@
     def needs_units(self, job: Job, node: Node, now: float) -> int:
         """Return how many members of a job a worker may take by what the job needs of workers."""
         needs = job.needs
+        if needs.only is not None and node.info.worker not in needs.only:
+            return 0
         if needs.label and needs.label not in node.info.labels:
             return 0
         if needs.rack and needs.rack != node.info.rack and not self.out_of_patience(job, now):
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -58,6 +58,7 @@
     def __init__(self):
         self.runs: list[Run] = []
         self.jobs: dict[str, JobFacts] = {}
+        self.advised: dict[str, set[str]] = {}
         self._gangs: dict[tuple[str, int], list[Run]] = {}
 
     def step_of(self, task: str) -> dict:
@@ -65,6 +66,14 @@
         job, _, step, _ = task.rsplit(".", 3)
         return self.jobs[job].steps[int(step)]
 
+    def ticket_for(self, task: str, executor: str) -> str | None:
+        """Return the ticket that a start needs; empty bars the executor, ``None`` needs none."""
+        job = task.split(".", 1)[0]
+        good = self.advised.get(job)
+        if good is None:
+            return None
+        return f"ticket {job} {executor}" if executor in good else ""
+
     def join_gang(self, run: Run, now: float) -> None:
         """Let a gang work once all its members are present."""
         step = self.step_of(run.task)
@@ -183,6 +192,9 @@
         self._extend(req["deadline_ms"])
         if number <= self._highest.get(task, 0):
             return 409, self._told(reason="old")
+        wanted = self._book.ticket_for(task, self.name)
+        if wanted is not None and req.get("ticket") != wanted:
+            return 409, self._told(reason="ticket")
         if not self._has_room(self._book.step_of(task)):
             return 409, self._told(reason="room")
         self._run(req)
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -27,6 +27,9 @@
         self.services: dict[str, EmulatedService] = {}
         self.cut: set[tuple[str, str]] = set()
         self.lost_orders: set[str] = set()
+        self.advisor_address = ""
+        self.book = None
+        self.advice_s = 0.05
         self.lost_answers: dict[str, int] = {}
         self.late_orders: dict[str, float] = {}
         self._store_address = store_address
@@ -39,6 +42,14 @@
         """Return an HTTP service of a VM, in the place of a listening one."""
         return EmulatedService(self, address, handle)
 
+    def advise(self, body: dict) -> tuple[int, dict]:
+        """Answer as the advice service does, after a time for each worker."""
+        self.clock.sleep(self.advice_s * (1 + len(body["workers"])))
+        job = body["step"].split(".", 1)[0]
+        good = self.book.advised.get(job, set())
+        rows = [[name, f"ticket {job} {name}"] for name in body["workers"] if name in good]
+        return 200, {"good": rows, "valid_ms": 3000}
+
     def reachable(self, name: str, address: str) -> bool:
         """Whether a VM's packets reach an address."""
         return (name, address) not in self.cut and (name, "*") not in self.cut
@@ -96,6 +107,8 @@
             return self._finish(network.store.handle(self._name, method, path, body), timeout_s)
         if peer in network.executors:
             return self._order(peer, path, headers or {}, body, timeout_s)
+        if peer == network.advisor_address:
+            return self._finish(network.advise(json.loads(body)), timeout_s)
         service = network.services.get(peer)
         if service is None:
             raise ConnectFailed("refused", step="connect", peer=peer)
--- a/standins/platform/operator.py
+++ b/standins/platform/operator.py
@@ -14,6 +14,10 @@
         _route("urgent", 0, attempts=2, stretch=1.5, slo_ms=250),
         _route("ordinary", 1, attempts=4, stretch=3.0, slo_ms=1000),
         _route("patient", 2, attempts=2, stretch=3.0, slo_ms=3000),
+        {
+            **_route("advised", 1, attempts=2, stretch=3.0, slo_ms=1000),
+            "advice": {"decide_ms": 50, "period_ms": 50, "valid_ms": 3000},
+        },
         *queues,
     ]
     return {
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -10,6 +10,7 @@
 from tests.fakes import VirtualClock
 
 STORE = "10.9.0.1:1"
+ADVISOR = "10.9.0.2:1"
 LIMITS = PlatformLimits(grace_s=6.0, longest_hold_s=6.0, kept_s=120.0)
 
 
@@ -22,6 +23,8 @@
         self.network = EmulatedNetwork(self.clock, self.kv, STORE)
         self.operator = Operator(self.kv)
         self.book = RunBook()
+        self.network.advisor_address = ADVISOR
+        self.network.book = self.book
         self.executors = [self.add_executor(number) for number in range(executors)]
         self.config = configuration(1)
         self.operator.configure(self.config)
@@ -49,7 +52,15 @@
     def start_vm(self, name):
         caller = self.network.caller(name)
         settings = JobVmSettings(
-            name, "z0", f"{name}:80", f"{name}:81", f"{name}:82", f"{name}:83", STORE, LIMITS
+            name,
+            "z0",
+            f"{name}:80",
+            f"{name}:81",
+            f"{name}:82",
+            f"{name}:83",
+            STORE,
+            LIMITS,
+            ADVISOR,
         )
         vm = build_job_vm(
             settings, Outside(self.clock, caller, self.network.service, random.Random(name))
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -285,3 +285,18 @@
     assert statuses[0] in (503, 504)
     assert statuses[1:] == [503] * 4
     assert fleet.book.runs == []
+
+
+def test_an_advised_unit_that_a_new_owner_adopted_goes_on_where_it_may(fleet):
+    """The new owner knows no tickets yet when the unit loses its worker."""
+    fleet.book.advised[job_id(1)] = {"i-1", "i-2"}
+    run(fleet, fleet.submit, "vm0", "advised", job_id(1), [step(gpu=8)], "run_s=20")
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    holder = next(e for e in fleet.executors if e.name == fleet.book.runs[0].executor)
+    holder.crash()
+    fleet.operator.register(holder)
+    fleet.clock.advance(30.0)
+    assert run(fleet, fleet.state, fleet.owner, "advised", job_id(1)) == "completed"
+    assert {r.executor for r in fleet.book.runs} <= {"i-1", "i-2"}
+    fleet.check_promises()
