Let the desk find the queue and check the key; the adapter only decodes

Which queue a call goes to and whether its key is known are decisions; they stood in platform/. Behaviour is as before, held by test_callers_are_told_what_is_wrong.

--- a/bench/platform_demo.py
+++ b/bench/platform_demo.py
@@ -69,7 +69,7 @@
         return [vm.wait(timeout=10) for vm in self._vms]
 
     def call(self, vm: int, method: str, path: str, body: dict | None = None) -> tuple[int, dict]:
-        """Send one call of a consumer."""
+        """Send one call of a caller."""
         try:
             reply = self._caller.call(
                 f"127.0.0.1:{front_port(vm)}",
--- a/src/lacewingmill/jobs/desk.py
+++ b/src/lacewingmill/jobs/desk.py
@@ -14,6 +14,7 @@
     JobRefused,
     NotOwner,
     OutcomeUnknown,
+    RequestInvalid,
     StoreRefused,
     StoreUnavailable,
     TransactionConflict,
@@ -23,7 +24,7 @@
 from lacewingmill.jobs.election import JobOwner
 from lacewingmill.jobs.graph import Progress
 from lacewingmill.jobs.keys import cancel_key, job_key, progress_key
-from lacewingmill.jobs.model import JobState, QueueTable, Submission
+from lacewingmill.jobs.model import JobState, Queue, QueueTable, Submission
 from lacewingmill.jobs.peers import (
     Accepted,
     Ask,
@@ -38,7 +39,7 @@
 from lacewingmill.jobs.relay import RelayedStore
 from lacewingmill.ports import Clock, Meter, Meters
 
-__all__ = ["DeskParts", "JobDesk"]
+__all__ = ["DeskParts", "JobDesk", "Located"]
 
 RETRY_S = 0.1
 # A store that refuses is asked once more, for a lost packet or a full second.
@@ -74,6 +75,19 @@
     vm: str
 
 
+@attrs.frozen
+class Located:
+    """Where a call goes.
+
+    :param team: name of the caller's team; empty on a public queue.
+    :param rest: the path beyond the queue's prefix.
+    """
+
+    queue: Queue
+    team: str
+    rest: str
+
+
 @attrs.frozen
 class _Count:
     waiting: int
@@ -91,10 +105,22 @@
         self._meters = parts.meters
         self._counts: dict[str, _Count] = {}
 
-    @property
-    def table(self) -> QueueTable | None:
-        """The configuration in force."""
-        return self._parts.table()
+    def locate(self, host: str, path: str, key: str) -> Located:
+        """Find the queue of a call and the team of its caller.
+
+        :raises RequestInvalid: 404 when there is no such queue, 401 when the key is unknown.
+        :raises JobRefused: when this VM has no configuration yet.
+        """
+        table = self._parts.table()
+        if table is None:
+            raise JobRefused("no configuration yet")
+        queue = table.find(host, path)
+        if queue is None:
+            raise RequestInvalid(f"no queue at {host}{path}", status=404)
+        team = table.team_of(key)
+        if team is None and not queue.public:
+            raise RequestInvalid("the key is unknown", status=401)
+        return Located(queue, team.name if team is not None else "", path[len(queue.prefix) :])
 
     def submit(self, submission: Submission, deadline_s: float) -> None:
         """Store a job.
--- a/src/lacewingmill/jobs/ports.py
+++ b/src/lacewingmill/jobs/ports.py
@@ -148,7 +148,7 @@
 class WorkerEntry:
     """A worker as it describes itself in the store.
 
-    :param worker: its id, new for each machine.
+    :param worker: its id; a process that starts anew may keep it.
     :param incarnation: start of its process, in milliseconds since the epoch.
     :param leaving: whether it drains.
     """
--- a/src/lacewingmill/platform/front.py
+++ b/src/lacewingmill/platform/front.py
@@ -1,4 +1,4 @@
-"""Calls of the platform's consumers: jobs handed in, asked for, cancelled and counted."""
+"""Calls of callers in the platform's form: jobs handed in, asked for, cancelled and counted."""
 
 import re
 from collections.abc import Callable
@@ -50,7 +50,7 @@
 
 
 class FrontHandler:
-    """Answers consumers."""
+    """Answers callers."""
 
     def __init__(self, desk: JobDesk):
         self._desk = desk
@@ -68,23 +68,13 @@
             return _error(504, exc.message)
 
     def _answer(self, req: HttpRequest) -> HttpAnswer:
-        table = self._desk.table
-        if table is None:
-            raise JobRefused("no configuration yet")
         host = req.headers.get("host", "").partition(":")[0].lower()
-        queue = table.find(host, req.path)
-        if queue is None:
-            raise RequestInvalid(f"no queue at {host}{req.path}", status=404)
-        team = table.team_of(_key(req))
-        if team is None and not queue.public:
-            raise RequestInvalid("the key is unknown", status=401)
-        name = team.name if team is not None else ""
-        job_id = req.path[len(queue.prefix) :]
-        if not job_id and req.method == "GET":
-            return _json({"waiting": self._desk.waiting(queue.name)})
-        if not JOB_ID.match(job_id):
-            raise RequestInvalid(f"{job_id!r} is not the id of a job", status=404)
-        return self._answer_job(req, queue, name, job_id)
+        found = self._desk.locate(host, req.path, _key(req))
+        if not found.rest and req.method == "GET":
+            return _json({"waiting": self._desk.waiting(found.queue.name)})
+        if not JOB_ID.match(found.rest):
+            raise RequestInvalid(f"{found.rest!r} is not the id of a job", status=404)
+        return self._answer_job(req, found.queue, found.team, found.rest)
 
     def _answer_job(self, req: HttpRequest, queue: Queue, team: str, job_id: str) -> HttpAnswer:
         if req.method == "POST":
@@ -119,7 +109,7 @@
 
 
 def decode_job(body: bytes, queue: Queue, team: str, job_id: str) -> Submission:
-    """Decode a job that a consumer hands in.
+    """Decode a job that a caller hands in.
 
     :raises RequestInvalid: when the body does not describe a job.
     """
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -45,7 +45,7 @@
 
 @attrs.define
 class JobFacts:
-    """What consumers handed in, for the executors' behaviour and the checks."""
+    """What callers handed in, for the executors' behaviour and the checks."""
 
     steps: list[dict]
     accepted: bool = False
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -85,7 +85,7 @@
         return owners[0] if owners else None
 
     def call(self, vm, method, path, body=None, key="key-a", host=HOST):
-        """Send one call of a consumer and return status and body."""
+        """Send one call of a caller and return status and body."""
         service = self.network.services[f"{vm}:80"]
         data = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
         headers = {
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -13,7 +13,7 @@
 
 
 def run(fleet, call, *args, seconds=3.0):
-    """Make a call of a consumer while time passes."""
+    """Make a call of a caller while time passes."""
     greenlet = gevent.spawn(call, *args)
     fleet.clock.advance(seconds)
     return greenlet.get(block=False)
