Kill all VMs at 24 moments of accepting, starting, ending and cancelling

Each of the 24 cases starts with empty memory again and checks what callers were told against what the workers ran.

--- /dev/null
+++ b/tests/test_platform_crashes.py
@@ -0,0 +1,58 @@
+"""All VMs lose power at any step of accepting, starting, ending and cancelling a job."""
+
+import gevent
+import pytest
+
+from tests.platform_fleet import PlatformFleet, job_id, step
+from tests.test_platform_path import run
+from tests.test_platform_recovery import wait_for_owner
+
+BATCH = [step(count=5), step(count=2, after=[0])]
+GANG = [step(count=2, gpu=8, gang=True)]
+CRASH_STEP_S = 0.12
+CRASHES = 24
+
+
+def hand_in(fleet):
+    """Hand four jobs in, one after the other, and cancel one; note what callers were told."""
+    told = {}
+    calls = (
+        ("ordinary", BATCH, "run_s=0.8"),
+        ("urgent", GANG, "run_s=1"),
+        ("patient", GANG, "run_s=1 fail=1"),
+        ("patient", [step(count=3)], "run_s=9"),
+    )
+
+    def call_all():
+        for number, (queue, steps, spec) in enumerate(calls):
+            told[job_id(number)] = (queue, None)
+            status = fleet.submit("vm0", queue, job_id(number), steps, spec)
+            told[job_id(number)] = (queue, status)
+        fleet.clock.sleep(0.5)
+        told["cancelled"] = fleet.call("vm0", "DELETE", f"/patient/{job_id(3)}")[0]
+
+    return gevent.spawn(call_all), told
+
+
+@pytest.mark.parametrize("crash", range(CRASHES))
+def test_what_was_acknowledged_survives_the_loss_of_all_vms(crash):
+    fleet = PlatformFleet()
+    caller, told = hand_in(fleet)
+    fleet.clock.advance(0.004 * crash if crash < 6 else CRASH_STEP_S * (crash - 5))
+    for vm in list(fleet.vms):
+        fleet.kill(vm)
+    caller.kill(block=False)
+    fleet.clock.advance(0.7)
+    fleet.start_vm("vm7")
+    wait_for_owner(fleet)
+    fleet.clock.advance(25.0)
+    for number in range(4):
+        queue, status = told.get(job_id(number), ("patient", None))
+        state = run(fleet, fleet.state, "vm7", queue, job_id(number))
+        if number == 3 and told.get("cancelled") == 200:
+            assert state == "cancelled"
+        elif status == 200:
+            assert state in ("completed", "cancelled") if number == 3 else state == "completed"
+        else:
+            assert state in ("completed", "cancelled", 410)
+    fleet.check_promises()
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -300,3 +300,18 @@
     assert run(fleet, fleet.state, fleet.owner, "advised", job_id(1)) == "completed"
     assert {r.executor for r in fleet.book.runs} <= {"i-1", "i-2"}
     fleet.check_promises()
+
+
+def test_an_end_is_forgotten_by_its_worker_only_once_it_is_stored(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step()], "run_s=4", seconds=3.0)
+    fleet.kv.faults.silent = True
+    fleet.clock.advance(2.0)
+    assert [(r.how, r.noted) for r in fleet.book.runs] == [("done", False)]
+    for vm in list(fleet.vms):
+        fleet.kill(vm)
+    fleet.kv.faults.silent = False
+    fleet.start_vm("vm7")
+    wait_for_owner(fleet)
+    fleet.clock.advance(5.0)
+    assert run(fleet, fleet.state, "vm7", "ordinary", job_id(1)) == "completed"
+    assert len(fleet.book.runs) == 1
