--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -303,15 +303,18 @@
 
 
 def test_an_end_is_forgotten_by_its_worker_only_once_it_is_stored(fleet):
-    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step()], "run_s=4", seconds=3.0)
+    """A second task keeps the worker busy, so that the next acknowledgement is sent at once."""
+    both = [step(count=2)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), both, "run_s=9", seconds=3.0)
+    fleet.book.runs[0].run_s = 4.0
     fleet.kv.faults.silent = True
     fleet.clock.advance(2.0)
-    assert [(r.how, r.noted) for r in fleet.book.runs] == [("done", False)]
+    assert [(r.how, r.noted) for r in fleet.book.runs] == [("done", False), ("", False)]
     for vm in list(fleet.vms):
         fleet.kill(vm)
     fleet.kv.faults.silent = False
     fleet.start_vm("vm7")
     wait_for_owner(fleet)
-    fleet.clock.advance(5.0)
+    fleet.clock.advance(10.0)
     assert run(fleet, fleet.state, "vm7", "ordinary", job_id(1)) == "completed"
-    assert len(fleet.book.runs) == 1
+    assert len(fleet.book.runs) == 2
