--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -80,8 +80,10 @@
         default=os.environ.get(SETTINGS_VARIABLE),
         help=f"the platform's settings of this VM; ${SETTINGS_VARIABLE} by default",
     )
-    check = _add(commands, "check", _check, "check the service files under a directory")
-    check.add_argument("directory", type=Path)
+    check = _add(commands, "check", _check, "check service files, or the settings of serve-jobs")
+    check.add_argument(
+        "path", type=Path, help="a directory of service files, or a settings file of the platform"
+    )
     publish = _add(commands, "publish", _publish, "check and publish service files")
     publish.add_argument("directory", type=Path)
     publish.add_argument("--base", type=int, help="refuse unless this revision is in force")
@@ -161,10 +163,20 @@
     return ExitCode.OK
 
 
+def _check_settings(path: Path) -> int:
+    from lacewingmill.platform import load_platform_settings
+
+    cfg = load_platform_settings(path)
+    print(f"{path}: right; {cfg.vm} would serve callers at {cfg.front}")
+    return ExitCode.OK
+
+
 def _check(args: argparse.Namespace) -> int:
     from lacewingmill.catalogue.documents import load_services
 
-    services = load_services(args.directory)
+    if args.path.is_file():
+        return _check_settings(args.path)
+    services = load_services(args.path)
     if args.json:
         _print_json(services)
     else:
@@ -177,7 +189,9 @@
     from lacewingmill.catalogue.documents import load_services
     from lacewingmill.operations import PublishOrder
 
-    services = load_services(args.directory)
+    if args.path.is_file():
+        return _check_settings(args.path)
+    services = load_services(args.path)
     client = _client(args)
     order = PublishOrder(services, args.by, uuid.uuid4().hex, args.base)
     result = client.publish(order)
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -79,7 +79,8 @@
             self._follow_readiness,
         ):
             gevent.spawn(loop)
-        self._log.emit(LogEvent.VM_STARTED, listen=self._settings.front)
+        cfg = self._settings
+        self._log.emit(LogEvent.VM_STARTED, listen=cfg.front, peers=cfg.peers, metrics=cfg.metrics)
 
     def reload(self, settings: JobVmSettings) -> None:
         """Take changed settings in; addresses are bound until the process starts anew."""
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 
 from lacewingmill.adapters.http_client import HttpReply
+from lacewingmill.cli import ExitCode, main
 from lacewingmill.exceptions import (
     DocumentInvalid,
     PeerError,
@@ -215,3 +216,12 @@
     "bounds.status_s=120",
     "platform.addr=10.9.0.1:1",
 ]
+
+
+def test_the_check_command_says_in_one_line_what_is_wrong_with_settings(tmp_path, capsys):
+    path = tmp_path / "settings.conf"
+    path.write_text("\n".join(SETTINGS))
+    assert main(["check", str(path)]) == ExitCode.OK
+    path.write_text("\n".join(line for line in SETTINGS if not line.startswith("ip=")))
+    assert main(["check", str(path)]) == ExitCode.INVALID
+    assert capsys.readouterr().err == "field ip is missing\n"
