--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -189,9 +189,7 @@
     from lacewingmill.catalogue.documents import load_services
     from lacewingmill.operations import PublishOrder
 
-    if args.path.is_file():
-        return _check_settings(args.path)
-    services = load_services(args.path)
+    services = load_services(args.directory)
     client = _client(args)
     order = PublishOrder(services, args.by, uuid.uuid4().hex, args.base)
     result = client.publish(order)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -95,3 +95,10 @@
     path.write_text(path.read_text().replace("drain: 5\ncolour: red", "drain: soon"))
     _, _, more = run(capsys, "serve", "--settings", str(path))
     assert (err + more).replace(str(tmp_path), "DIR") == snapshot
+
+
+def test_publish_reads_its_directory_before_it_calls_anybody(tmp_path, capsys):
+    write(tmp_path, WRONG["unknown_key"])
+    code, _, err = run(capsys, "publish", str(tmp_path), "--to", "http://127.0.0.1:1")
+    assert code == ExitCode.INVALID
+    assert "expects" in err
