Remove four methods that nothing calls

JobGraph.next_due, failures and remaining_chain_s and ActiveUnit.on_worker were left over from the first version of the director; a search of src and tests finds no use.

--- a/src/lacewingmill/jobs/graph.py
+++ b/src/lacewingmill/jobs/graph.py
@@ -101,12 +101,6 @@
                 units.extend(self._open_step(occurrence, number))
         return units
 
-    def next_due(self, wall: float) -> float | None:
-        """Return when the next occurrence is due, in seconds since the epoch."""
-        timing = self.submission.timing
-        dues = (timing.due_at(occurrence) for occurrence in range(timing.occurrences))
-        return next((due for due in dues if due > wall), None)
-
     def unit_of(self, task: TaskId) -> Unit:
         """Return the unit that holds a task."""
         step = self.submission.steps[task.step]
@@ -153,23 +147,6 @@
         if not self.state.final:
             self._end(JobState.CANCELLED, wall)
 
-    def failures(self, unit: Unit) -> int:
-        """Return how often a unit has failed."""
-        return len(self._failures.get(unit, ()))
-
-    def remaining_chain_s(self, number: int) -> float:
-        """Return the declared time of the longest chain that begins with a step, in seconds."""
-        steps = self.submission.steps
-        longest = [0.0] * len(steps)
-        for later in range(len(steps) - 1, -1, -1):
-            following = [
-                longest[other]
-                for other in range(later + 1, len(steps))
-                if later in steps[other].after
-            ]
-            longest[later] = steps[later].expected_s + max(following, default=0.0)
-        return longest[number]
-
     def _open_step(self, occurrence: int, number: int) -> list[Unit]:
         key = (occurrence, number)
         step = self.submission.steps[number]
--- a/src/lacewingmill/jobs/units.py
+++ b/src/lacewingmill/jobs/units.py
@@ -91,7 +91,3 @@
     def all_running(self) -> bool:
         """Whether every member was confirmed."""
         return all(member.state is MemberState.RUNNING for member in self.members.values())
-
-    def on_worker(self, worker: str) -> list[Member]:
-        """Return the members on a worker that may be running."""
-        return [m for m in self.members.values() if m.worker == worker and not m.gone]
