Workers that left are taken from the store's record

Cause: the store's list of workers that may run something was written only when a worker came, so one that had left for good stayed in it for ever. Each later owner asked it, waited the whole contact time of 0.8 s for it, and held all waiting units back for 6.2 s, as it might run them unseen.

Change: a worker that is forgotten, because it is unlisted and nothing can run on it, is taken from the record at once; one that is listed again counts as recorded only after the store holds it again.

Tests: a takeover after a worker left (failed before: two units held back), and a worker that returns and is unlisted again.

--- a/src/lacewingmill/jobs/worker_pool.py
+++ b/src/lacewingmill/jobs/worker_pool.py
@@ -87,7 +87,7 @@
         for worker in [name for name in self._links if name not in entries]:
             self._unlist(self._links[worker])
         if any(worker not in self._recorded for worker in self._links):
-            self._ledger.stage(WORKERS_KEY, WorkersUsed(tuple(link.entry for link in self)))
+            self._record()
 
     def __iter__(self):
         """Iterate over all links."""
@@ -95,7 +95,7 @@
 
     def committed(self, used: WorkersUsed) -> None:
         """The store holds that these workers may run something."""
-        self._recorded = {entry.worker for entry in used.entries}
+        self._recorded = {entry.worker for entry in used.entries} & self._links.keys()
         waiting, self._unrecorded = self._unrecorded, []
         for link in waiting:
             if link.opened:
@@ -149,9 +149,15 @@
             return
         link.stop()
         del self._links[link.worker]
+        self._record()
         self._orders.forget(link.entry)
         if link.opened:
             self._feed(link, WorkerLost(link.worker, left=True))
 
+    def _record(self) -> None:
+        """Have the store hold the workers that may run something, and no others."""
+        self._recorded &= self._links.keys()
+        self._ledger.stage(WORKERS_KEY, WorkersUsed(tuple(link.entry for link in self)))
+
     def _feed(self, link: WorkerLink, event: Event) -> None:
         self._planner.feed(link.entry.service, event)
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -71,6 +71,44 @@
     fleet.check_promises()
 
 
+def leave(fleet, executor):
+    """An executor drains, exits and is unlisted."""
+    fleet.operator.register(executor, state="draining")
+    fleet.clock.advance(3.0)
+    fleet.operator.unregister(executor)
+    del fleet.network.executors[executor.entry["addr"]]
+    fleet.clock.advance(2.0)
+
+
+def test_a_new_owner_does_not_wait_for_workers_that_left_before(fleet):
+    """A worker that is gone for good must not hold back what waits across a takeover."""
+    leave(fleet, fleet.executors[3])
+    steps = [step(count=2), step(count=2, after=[0])]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=1", seconds=0.5)
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    fleet.clock.advance(1.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_promises()
+
+
+def test_a_worker_that_returns_after_it_left_is_asked_by_a_new_owner(fleet):
+    worker = fleet.executors[3]
+    leave(fleet, worker)
+    fleet.network.executors[worker.entry["addr"]] = worker
+    fleet.operator.register(worker)
+    fleet.clock.advance(3.0)
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=9")
+    assert worker.name in {r.executor for r in fleet.book.runs}
+    fleet.operator.unregister(worker)
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    fleet.clock.advance(12.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    assert [r.how for r in fleet.book.runs] == ["done"] * 4
+    fleet.check_promises()
+
+
 def test_two_urgent_claims_never_wait_for_each_other(fleet):
     """A claim beyond its quota pledges room; a claim within it must not count on that room."""
     fleet.operator.configure(configuration(2, quota=16))
