Log starts and stops that get no answer

Event 426 names worker, task, run, order and reason. Task ids in logs read as job/occurrence/step/index now, as units do.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -71,6 +71,11 @@
         "The advice service did not say which workers may run a unit.",
     )
     RUN_ENDED = (424, "info", "A worker has listed the end of a run.")
+    ORDER_UNANSWERED = (
+        426,
+        "warning",
+        "A start or stop got no answer, or one that says nothing; it may be carried out later.",
+    )
     STRAY_STOPPED = (425, "warning", "A worker ran what nobody wants; it was stopped.")
     WORKER_SILENT = (430, "warning", "A worker does not answer or is not well; it gets no work.")
     WORKER_UNLISTED = (431, "warning", "A worker is not in the store any more.")
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -9,6 +9,7 @@
 from gevent.lock import BoundedSemaphore
 
 from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.exceptions import TransportError
 from lacewingmill.jobs.advice_book import AdviceBook
 from lacewingmill.jobs.election import Tenure
 from lacewingmill.jobs.graph import JobGraph, Progress
@@ -29,7 +30,7 @@
 from lacewingmill.jobs.unit_planner import UnitPlanner
 from lacewingmill.jobs.unit_runner import UnitRunner
 from lacewingmill.jobs.units import Member
-from lacewingmill.jobs.worker_link import WorkerLink
+from lacewingmill.jobs.worker_link import Order, WorkerLink
 from lacewingmill.jobs.worker_pool import WorkerPool
 from lacewingmill.ports import Clock, Meter, Meters
 from lacewingmill.scheduling.messages import (
@@ -204,6 +205,19 @@
         """All leases on a worker have certainly lapsed."""
         self.pool.lost(link)
 
+    def order_unanswered(
+        self, link: WorkerLink, member: Member, order: Order, exc: TransportError
+    ) -> None:
+        """An order for a member got no answer; it may be carried out, also later."""
+        self._log.emit(
+            LogEvent.ORDER_UNANSWERED,
+            worker=link.worker,
+            task=str(member.task),
+            run=member.run,
+            order=order.value,
+            reason=exc.message,
+        )
+
     def fenced(self) -> None:
         """Another VM is the owner."""
         if not self._stopped:
--- a/src/lacewingmill/jobs/model.py
+++ b/src/lacewingmill/jobs/model.py
@@ -192,6 +192,9 @@
     step: int
     index: int
 
+    def __str__(self) -> str:
+        return f"{self.job_id}/{self.occurrence}/{self.step}/{self.index}"
+
 
 @attrs.frozen
 class Unit:
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -25,7 +25,7 @@
 from lacewingmill.jobs.units import Member, MemberState
 from lacewingmill.ports import Clock
 
-__all__ = ["LinkListener", "StartResult", "WorkerLink"]
+__all__ = ["LinkListener", "Order", "StartResult", "WorkerLink"]
 
 # The longest time that a worker lets an answer wait.
 LONGEST_WAIT_S = 2.0
@@ -45,6 +45,13 @@
 UNHEALTHY_PAUSE_S = 1.0
 
 
+class Order(enum.Enum):
+    """What a worker is told to do with a member."""
+
+    START = "start"
+    STOP = "stop"
+
+
 class StartResult(enum.Enum):
     """What became of a start."""
 
@@ -88,6 +95,11 @@
     def link_lost(self, link: "WorkerLink") -> None:
         """All leases on the worker have certainly lapsed."""
 
+    def order_unanswered(
+        self, link: "WorkerLink", member: Member, order: Order, exc: TransportError
+    ) -> None:
+        """An order for a member got no answer; it may be carried out, also later."""
+
     def fenced(self) -> None:
         """The worker obeys a higher fence."""
 
@@ -178,7 +190,8 @@
                 except WorkerReplaced:
                     self._replaced()
                     return StartResult.UNHEALTHY
-                except TransportError:
+                except TransportError as exc:
+                    self._listener.order_unanswered(self, member, Order.START, exc)
                     unanswered = True
                     continue
                 if answer.outcome is StartOutcome.LATE:
@@ -256,7 +269,8 @@
             except WorkerReplaced:
                 self._replaced()
                 return False
-            except TransportError:
+            except TransportError as exc:
+                self._listener.order_unanswered(self, member, Order.STOP, exc)
                 self._fail()
                 return False
         return True
