Unanswered watches do not make the store count as away

Cause: while the store forgets its history it answers no watch for a second, and all other calls as ever.

Change: after an unanswered watch one read tells whether the store is away. The relay for other VMs does the same.

Kept because callers are not refused by a store that works.

--- a/src/lacewingmill/jobs/relay.py
+++ b/src/lacewingmill/jobs/relay.py
@@ -188,19 +188,26 @@
         :raises StoreRefused: when certainly nothing was done.
         :raises StoreUnavailable: when the call may have taken effect.
         """
-        uncertain = False
         began_at = self._clock.now()
-        if self._clock.now() >= self._direct_rests_until:
-            try:
-                answer = direct()
-            except StoreRefused:
-                self.rest(suspect=False)
-            except StoreUnavailable:
-                uncertain = True
-                self.rest(suspect=True)
-            else:
-                self._note(relaying=False)
-                return answer
+        if began_at < self._direct_rests_until:
+            return self._call_peers(message, kind, began_at, uncertain=False)
+        try:
+            answer = direct()
+        except StoreRefused:
+            self.rest(suspect=False)
+            return self._call_peers(message, kind, began_at, uncertain=False)
+        except StoreUnavailable:
+            if not self.unanswered(message):
+                raise
+            return self._call_peers(message, kind, began_at, uncertain=True)
+        self._note(relaying=False)
+        return answer
+
+    def _call_peers(self, message: Any, kind: type[T], began_at: float, *, uncertain: bool) -> T:
+        """Ask other VMs to carry a call out.
+
+        :param uncertain: whether the call may have taken effect already.
+        """
         if self._clock.now() >= self._relays_rest_until:
             for peer in self._choose_peers():
                 if self._clock.now() - began_at > ASKING_S:
@@ -231,6 +238,23 @@
         except StoreUnavailable as exc:
             raise StoreRefused(exc.message, step="probe") from exc
 
+    def unanswered(self, message: Any) -> bool:
+        """Take in that the store did not answer a call; return whether it is away.
+
+        Watches alone may be unanswered for a while, so a read tells.
+        """
+        away = not (isinstance(message, _Watch) and self._reads())
+        if away:
+            self.rest(suspect=True)
+        return away
+
+    def _reads(self) -> bool:
+        try:
+            self._direct.read(OWNER_KEY)
+        except StoreUnavailable:
+            return False
+        return True
+
     def rest(self, *, suspect: bool) -> None:
         """Leave the store alone for a moment.
 
@@ -314,7 +338,7 @@
             self._store.rest(suspect=False)
             return HttpAnswer(REFUSED)
         except StoreUnavailable:
-            self._store.rest(suspect=True)
+            self._store.unanswered(message)
             return HttpAnswer(UNANSWERED)
 
     def _carry_out(self, message: Any) -> Any:
--- a/standins/platform/kv.py
+++ b/standins/platform/kv.py
@@ -23,6 +23,7 @@
 
     :param down: answers 503 to everybody.
     :param silent: answers nobody, and does nothing.
+    :param deaf: answers no watch, and serves all other calls.
     :param turned_away: names of callers that get 503.
     :param slow_s: added before each answer, in seconds.
     :param lose_writes: number of transactions that take effect and are not answered.
@@ -32,6 +33,7 @@
 
     down: bool = False
     silent: bool = False
+    deaf: bool = False
     turned_away: set[str] = attrs.field(factory=set)
     slow_s: float = 0.0
     lose_writes: int = 0
@@ -90,7 +92,7 @@
         if name == "kv-range":
             return self._range(query)
         if name == "kv-watch":
-            return self._watch(caller, query)
+            return self._watch(caller, query) if not self.faults.deaf else None
         if name == "kv-txn":
             return self._transact(json.loads(body))
         if name == "kv-lease":
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -149,6 +149,22 @@
     assert fleet.book.runs == []
 
 
+def test_jobs_are_accepted_while_the_store_answers_no_watch(fleet):
+    """Watches that are not answered say nothing about the store's other calls."""
+    fleet.kv.faults.deaf = True
+    fleet.clock.advance(2.5)
+    for number in range(1, 20):
+        vm = "vm0" if number % 2 else "vm1"
+        status = run(fleet, fleet.submit, vm, "ordinary", job_id(number), [step()], seconds=0.2)
+        assert status == 200, f"job {number}"
+    fleet.kv.faults.deaf = False
+    fleet.kv.forget_history()
+    fleet.clock.advance(12.0)
+    for number in range(1, 20):
+        assert run(fleet, fleet.state, "vm0", "ordinary", job_id(number)) == "completed"
+    fleet.check_promises()
+
+
 def test_a_vm_that_the_store_turns_away_hands_jobs_in_through_the_owner(fleet):
     other = next(vm for vm in fleet.vms if vm != fleet.owner)
     fleet.kv.faults.turned_away.add(other)
