Refusals and doubts name what failed

The reason lists each failure now, of the store and of each VM that was asked, with step and peer; a doubt and an unread state or cancellation are logged with it (412, 418, 419), and callers are told no addresses. No change of behaviour.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -61,6 +61,8 @@
     JOB_FAILED = (415, "warning", "A unit of a job failed as often as its queue allows.")
     JOB_ENDED = (416, "info", "A job reached a final state.")
     JOB_UNREADABLE = (417, "error", "A stored job cannot be read; it is passed over.")
+    JOB_STATE_UNREAD = (418, "warning", "A caller was told that a job's state cannot be read now.")
+    CANCEL_NOT_STORED = (419, "warning", "A caller's cancellation was not stored, as far as known.")
     UNIT_ORDERED = (420, "info", "The start of a unit was ordered.")
     UNIT_REJECTED = (421, "warning", "A worker did not start a member; the unit is placed anew.")
     UNIT_EVICTED = (422, "info", "A unit gives its workers back to another one.")
--- a/src/lacewingmill/jobs/desk.py
+++ b/src/lacewingmill/jobs/desk.py
@@ -132,7 +132,7 @@
         submission = attrs.evolve(submission, accepted_at=self._clock.wall())
         began_at = self._clock.now()
         end = began_at + deadline_s * DEADLINE_SHARE
-        uncertain = False
+        doubt = ""
         refusals = 0
         while True:
             try:
@@ -144,13 +144,13 @@
                 return
             except StoreRefused as exc:
                 refusals += 1
-                if not uncertain and refusals >= REFUSALS_BEFORE_ANSWER:
+                if not doubt and refusals >= REFUSALS_BEFORE_ANSWER:
                     self._refuse(submission, exc.message, deadline_s)
-            except StoreUnavailable:
-                uncertain = True
+            except StoreUnavailable as exc:
+                doubt = exc.message
             if self._clock.now() > end:
                 self._meters.count(Meter.JOBS, outcome="doubtful", cause="store")
-                self._log.emit(LogEvent.JOB_DOUBTFUL, job=submission.job_id)
+                self._log.emit(LogEvent.JOB_DOUBTFUL, job=submission.job_id, reason=doubt)
                 raise OutcomeUnknown("whether the job was stored is not known", step="submit")
             self._clock.sleep(RETRY_S)
 
@@ -168,9 +168,8 @@
         try:
             return self._read_state(job_id, team)
         except StoreUnavailable as exc:
-            raise JobRefused(
-                f"the job's state cannot be read: {exc.message}", retry_s=self._retry_s()
-            ) from exc
+            self._log.emit(LogEvent.JOB_STATE_UNREAD, job=job_id, reason=exc.message)
+            raise JobRefused("the job's state cannot be read", retry_s=self._retry_s()) from exc
 
     def cancel(self, job_id: str, team: str) -> bool:
         """Give a job up; return whether there is such a job of the team.
@@ -191,9 +190,13 @@
         except TransactionConflict:
             return True
         except StoreRefused as exc:
-            raise JobRefused(exc.message, retry_s=self._retry_s()) from exc
+            self._log.emit(LogEvent.CANCEL_NOT_STORED, job=job_id, reason=exc.message)
+            raise JobRefused("the job was not given up", retry_s=self._retry_s()) from exc
         except StoreUnavailable as exc:
-            raise OutcomeUnknown(exc.message, step="cancel") from exc
+            self._log.emit(LogEvent.CANCEL_NOT_STORED, job=job_id, reason=exc.message)
+            raise OutcomeUnknown(
+                "whether the job was given up is not known", step="cancel"
+            ) from exc
         return True
 
     def waiting(self, queue: str) -> int:
@@ -295,7 +298,7 @@
         self._meters.count(Meter.JOBS, outcome="refused", cause="store")
         self._log.emit(LogEvent.JOB_NOT_ACCEPTED, job=submission.job_id, reason=reason)
         raise JobRefused(
-            f"the job was not stored: {reason}",
+            "the job was not stored",
             retry_s=max(SHORTEST_RETRY_S, min(self._retry_s(), deadline_s * RETRY_DEADLINE_SHARE)),
         )
 
--- a/src/lacewingmill/jobs/relay.py
+++ b/src/lacewingmill/jobs/relay.py
@@ -190,41 +190,50 @@
         """
         began_at = self._clock.now()
         if began_at < self._direct_rests_until:
-            return self._call_peers(message, kind, began_at, uncertain=False)
+            return self._call_peers(
+                message,
+                kind,
+                began_at,
+                StoreRefused("the store did not serve this VM a moment ago"),
+            )
         try:
             answer = direct()
-        except StoreRefused:
+        except StoreRefused as exc:
             self.rest(suspect=False)
-            return self._call_peers(message, kind, began_at, uncertain=False)
-        except StoreUnavailable:
+            return self._call_peers(message, kind, began_at, exc)
+        except StoreUnavailable as exc:
             if not self.unanswered(message):
                 raise
-            return self._call_peers(message, kind, began_at, uncertain=True)
+            return self._call_peers(message, kind, began_at, exc)
         self._note(relaying=False)
         return answer
 
-    def _call_peers(self, message: Any, kind: type[T], began_at: float, *, uncertain: bool) -> T:
+    def _call_peers(
+        self, message: Any, kind: type[T], began_at: float, failure: StoreUnavailable
+    ) -> T:
         """Ask other VMs to carry a call out.
 
-        :param uncertain: whether the call may have taken effect already.
+        :param failure: why the store itself did not; unless it refused, the call may have taken
+            effect already.
         """
+        failures = [failure]
         if self._clock.now() >= self._relays_rest_until:
             for peer in self._choose_peers():
                 if self._clock.now() - began_at > ASKING_S:
                     break
                 try:
                     answer = self._relay(peer, message, kind)
-                except StoreRefused:
-                    continue
-                except StoreUnavailable:
-                    uncertain = True
+                except StoreUnavailable as exc:
+                    failures.append(exc)
                     continue
                 self._helper = peer
                 self._note(relaying=True)
                 return answer
             self._relays_rest_until = self._clock.now() + REST_S
-        error = StoreUnavailable if uncertain else StoreRefused
-        raise error("neither the store nor another VM answers", step="store")
+        refused = all(isinstance(exc, StoreRefused) for exc in failures)
+        error = StoreRefused if refused else StoreUnavailable
+        reasons = "; ".join(str(exc) for exc in failures)
+        raise error(f"neither the store nor another VM answers: {reasons}", step="store")
 
     def _probe(self) -> None:
         """Read something before a write, after a call without an answer.
