Hand-ins during an outage are refused at once, and certainly

A hand-in that was refused once and then ran out of time counted as in doubt, too.

Change: a write is relayed only through a VM that carried a call out within two seconds, others are asked to read first, for half a second at most; VMs that failed lately are asked last; a refusal that comes late stays a refusal; and a store known to be away is not asked twice for a caller. The log says how long a refusal or doubt took.

--- a/src/lacewingmill/jobs/desk.py
+++ b/src/lacewingmill/jobs/desk.py
@@ -44,6 +44,8 @@
 RETRY_S = 0.1
 # A store that refuses is asked once more, for a lost packet or a full second.
 REFUSALS_BEFORE_ANSWER = 2
+# A store that has been away for so long is not asked again for each caller.
+KNOWN_AWAY_S = 0.3
 # Part of a caller's time after which it is told that the outcome is not known.
 DEADLINE_SHARE = 0.8
 # When a caller may come back while the store is away: after as long again as it has been away, so
@@ -144,13 +146,18 @@
                 return
             except StoreRefused as exc:
                 refusals += 1
-                if not doubt and refusals >= REFUSALS_BEFORE_ANSWER:
-                    self._refuse(submission, exc.message, deadline_s)
+                if not doubt and self._is_final(refusals, end):
+                    self._refuse(submission, exc.message, began_at, deadline_s)
             except StoreUnavailable as exc:
                 doubt = exc.message
             if self._clock.now() > end:
                 self._meters.count(Meter.JOBS, outcome="doubtful", cause="store")
-                self._log.emit(LogEvent.JOB_DOUBTFUL, job=submission.job_id, reason=doubt)
+                self._log.emit(
+                    LogEvent.JOB_DOUBTFUL,
+                    job=submission.job_id,
+                    reason=doubt,
+                    took_s=self._took_s(began_at),
+                )
                 raise OutcomeUnknown("whether the job was stored is not known", step="submit")
             self._clock.sleep(RETRY_S)
 
@@ -294,9 +301,25 @@
         except (TransportError, NotOwner):
             return  # the owner finds the job in the store within a second
 
-    def _refuse(self, submission: Submission, reason: str, deadline_s: float) -> None:
+    def _is_final(self, refusals: int, end: float) -> bool:
+        """Whether a caller is refused rather than let wait for the store once more."""
+        if refusals >= REFUSALS_BEFORE_ANSWER or self._clock.now() > end:
+            return True
+        return self._store.away_s > KNOWN_AWAY_S
+
+    def _took_s(self, began_at: float) -> float:
+        return round(self._clock.now() - began_at, 3)
+
+    def _refuse(
+        self, submission: Submission, reason: str, began_at: float, deadline_s: float
+    ) -> None:
         self._meters.count(Meter.JOBS, outcome="refused", cause="store")
-        self._log.emit(LogEvent.JOB_NOT_ACCEPTED, job=submission.job_id, reason=reason)
+        self._log.emit(
+            LogEvent.JOB_NOT_ACCEPTED,
+            job=submission.job_id,
+            reason=reason,
+            took_s=self._took_s(began_at),
+        )
         raise JobRefused(
             "the job was not stored",
             retry_s=max(SHORTEST_RETRY_S, min(self._retry_s(), deadline_s * RETRY_DEADLINE_SHARE)),
--- a/src/lacewingmill/jobs/relay.py
+++ b/src/lacewingmill/jobs/relay.py
@@ -33,12 +33,17 @@
 # How long a way that failed is left alone before one call tries it again.
 REST_S = 0.5
 PEER_REST_S = 3.0
+# A VM that relayed a call so lately is trusted with a write at once.
+PEER_TRUST_S = 2.0
 # Most VMs asked for one call; when the store is down for all, more would not help.
 PEERS_ASKED = 3
 # Above the store's own timeout, which the other VM waits for.
 RELAY_TIMEOUT_S = 1.0
-# No further VM is asked after so long, for callers wait about three seconds.
-ASKING_S = 1.2
+# A VM that can relay reads the store in milliseconds, or in a third of a second from a slow store.
+PROBE_TIMEOUT_S = 0.5
+# No further VM is asked after so long: callers wait about three seconds, and a refusal that comes
+# after a quarter of that leaves time to come back.
+ASKING_S = 0.75
 T = TypeVar("T")
 
 
@@ -125,6 +130,7 @@
         self._direct_rests_until = 0.0
         self._relays_rest_until = 0.0
         self._peer_rests_until: dict[str, float] = {}
+        self._peer_served_at: dict[str, float] = {}
         self._answered_at = clock.now()
         self._suspect = False
         self._helper = ""
@@ -188,41 +194,35 @@
         :raises StoreRefused: when certainly nothing was done.
         :raises StoreUnavailable: when the call may have taken effect.
         """
-        began_at = self._clock.now()
-        if began_at < self._direct_rests_until:
-            return self._call_peers(
-                message,
-                kind,
-                began_at,
-                StoreRefused("the store did not serve this VM a moment ago"),
-            )
+        if not self.reached:
+            failure = StoreRefused("the store did not serve this VM a moment ago")
+            return self._call_peers(message, kind, failure)
         try:
             answer = direct()
         except StoreRefused as exc:
             self.rest(suspect=False)
-            return self._call_peers(message, kind, began_at, exc)
+            return self._call_peers(message, kind, exc)
         except StoreUnavailable as exc:
             if not self.unanswered(message):
                 raise
-            return self._call_peers(message, kind, began_at, exc)
+            return self._call_peers(message, kind, exc)
         self._note(relaying=False)
         return answer
 
-    def _call_peers(
-        self, message: Any, kind: type[T], began_at: float, failure: StoreUnavailable
-    ) -> T:
+    def _call_peers(self, message: Any, kind: type[T], failure: StoreUnavailable) -> T:
         """Ask other VMs to carry a call out.
 
         :param failure: why the store itself did not; unless it refused, the call may have taken
             effect already.
         """
         failures = [failure]
+        began_at = self._clock.now()
         if self._clock.now() >= self._relays_rest_until:
             for peer in self._choose_peers():
                 if self._clock.now() - began_at > ASKING_S:
                     break
                 try:
-                    answer = self._relay(peer, message, kind)
+                    answer = self._relay_safely(peer, message, kind)
                 except StoreUnavailable as exc:
                     failures.append(exc)
                     continue
@@ -284,11 +284,27 @@
         now = self._clock.now()
         peers = [peer for peer in self._peers() if self._peer_rests_until.get(peer, 0.0) <= now]
         self._rng.shuffle(peers)
-        peers.sort(key=lambda peer: peer != self._helper)
+        peers.sort(key=lambda peer: (peer != self._helper, self._peer_rests_until.get(peer, 0.0)))
         return peers[:PEERS_ASKED]
 
-    def _relay(self, peer: str, message: Any, kind: type[T]) -> T:
-        timeout_s = RELAY_TIMEOUT_S + getattr(message, "wait_s", 0.0)
+    def _relay_safely(self, peer: str, message: Any, kind: type[T]) -> T:
+        """Relay a call, but a write only through a VM that has just carried a call out.
+
+        A write that a VM does not answer leaves its caller in doubt; a read does not.
+        """
+        served_at = self._peer_served_at.get(peer, float("-inf"))
+        if self._clock.now() - served_at < PEER_TRUST_S:
+            return self._relay(peer, message, kind, RELAY_TIMEOUT_S)
+        if not isinstance(message, Transaction):
+            return self._relay(peer, message, kind, PROBE_TIMEOUT_S)
+        try:
+            self._relay(peer, _Read(OWNER_KEY), _Reading, PROBE_TIMEOUT_S)
+        except StoreUnavailable as exc:
+            raise StoreRefused(exc.message, step="probe", peer=peer) from exc
+        return self._relay(peer, message, kind, RELAY_TIMEOUT_S)
+
+    def _relay(self, peer: str, message: Any, kind: type[T], timeout_s: float) -> T:
+        timeout_s += getattr(message, "wait_s", 0.0)
         try:
             reply = self._caller.call(
                 peer, "POST", PATHS[type(message)], body=encode(message), timeout_s=timeout_s
@@ -310,6 +326,7 @@
             raise StoreRefused("the other VM is refused too", step="relay", peer=peer)
         if reply.status != 200:
             raise StoreUnavailable(f"answered {reply.status}", step="relay", peer=peer)
+        self._peer_served_at[peer] = self._clock.now()
         try:
             return decode(reply.body, kind)
         except msgspec.DecodeError as exc:
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -193,6 +193,24 @@
     fleet.check_promises()
 
 
+def test_a_refusal_that_comes_late_is_no_doubt(fleet):
+    fleet.kv.faults.down = True
+    fleet.kv.faults.slow_s = 0.4
+    fleet.deadline_ms = 300
+    assert run(fleet, fleet.submit, "vm1", "ordinary", job_id(1), [step()]) == 503
+
+
+def test_a_refusal_stays_certain_while_other_vms_do_not_answer(fleet):
+    """A write is relayed only by a VM that has just answered, so it is in doubt less often."""
+    fleet.kv.faults.down = True
+    fleet.network.cut |= {("vm1", "vm0:82"), ("vm0", "vm1:82")}
+    assert run(fleet, fleet.submit, "vm1", "ordinary", job_id(1), [step()]) == 503
+    assert run(fleet, fleet.submit, "vm0", "ordinary", job_id(2), [step()]) == 503
+    fleet.kv.faults.down = False
+    fleet.clock.advance(5.0)
+    assert fleet.book.runs == []
+
+
 def test_a_vm_that_the_store_turns_away_hands_jobs_in_through_the_owner(fleet):
     other = next(vm for vm in fleet.vms if vm != fleet.owner)
     fleet.kv.faults.turned_away.add(other)
