An owner that two VMs do not reach loses its lease at once

Change: the two VMs after the owner in the ring of addresses check it every 0.3 s. After two failures, or one refused connection, and when another VM does not reach it either, the term is marked and the lease ended. An owner that lives on may send orders until its own time is over, so its successor holds units that may run unseen back for that much longer. Fences and conditions of writes are as before.

Ruled out: a shorter lease (a store outage as short would stop all starts); one VM's word (a cut between two VMs would replace a sound owner; tested with four VMs).

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -52,6 +52,7 @@
     JOBS_TAKEN = (400, "info", "This VM directs the jobs of the platform under the given fence.")
     JOBS_LOST = (401, "warning", "This VM directs the jobs no more; the reason is given.")
     JOBS_LEASE_KEPT = (402, "warning", "An owner's lease could not be ended; it lapses by itself.")
+    JOBS_OWNER_REPLACED = (404, "warning", "An owner that two VMs do not reach loses its lease.")
     JOBS_RECOVERED = (403, "info", "A new owner has read the jobs and what runs on the workers.")
     JOB_ACCEPTED = (410, "info", "A job was stored, and its caller was told so.")
     JOB_NOT_ACCEPTED = (411, "info", "A job was refused and never runs; the reason is given.")
--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -15,6 +15,7 @@
 from lacewingmill.jobs.director import Director, DirectorParts
 from lacewingmill.jobs.directory import VmDirectory
 from lacewingmill.jobs.election import JobElector, JobOwner
+from lacewingmill.jobs.owner_watch import OwnerWatch
 from lacewingmill.jobs.peers import OwnerCalls
 from lacewingmill.jobs.ports import WorkerEntry
 from lacewingmill.jobs.relay import RELAY_PATHS, RelayedStore, StoreRelay
@@ -80,16 +81,19 @@
     vm = JobVm(settings, parts, clock, log, follower, roster_of, directory)
     me = JobOwner(settings.vm, settings.peers, uuid.uuid4().hex, 0, 0)
     elector = JobElector(me, store, clock, log, vm.take, vm.leave, lambda owner: None, outside.rng)
+    calls = OwnerCalls(caller)
+    owner_watch = OwnerWatch(settings.peers, elector, calls, directory, clock)
     desk = JobDesk(
         DeskParts(
             store,
-            OwnerCalls(caller),
+            calls,
             clock,
             log,
             metrics,
             lambda: follower.table,
             lambda: vm.director,
             lambda: elector.owner,
+            owner_watch.reaches,
             settings.vm,
         )
     )
@@ -107,6 +111,7 @@
 
     vm.attach(
         elector,
+        owner_watch,
         outside.serve(settings.front, FrontHandler(desk).handle, crashed),
         outside.serve(settings.ready, ReadyHandler(vm.why_not_ready).handle, crashed),
         outside.serve(settings.peers, answer_peer, crashed),
--- a/src/lacewingmill/jobs/desk.py
+++ b/src/lacewingmill/jobs/desk.py
@@ -27,9 +27,11 @@
 from lacewingmill.jobs.model import JobState, Queue, QueueTable, Submission
 from lacewingmill.jobs.peers import (
     Accepted,
+    AliveAsk,
     Ask,
     CancelAsk,
     OwnerCalls,
+    ReachAsk,
     StateAsk,
     Told,
     WaitingAsk,
@@ -64,6 +66,7 @@
 
     :param director: returns the director while this VM directs the jobs.
     :param owner: returns the VM that directs the jobs, as far as it is known.
+    :param reaches: returns whether the VM at an address answers.
     """
 
     store: RelayedStore
@@ -74,6 +77,7 @@
     table: Callable[[], QueueTable | None]
     director: Callable[[], Director | None]
     owner: Callable[[], JobOwner | None]
+    reaches: Callable[[str], bool]
     vm: str
 
 
@@ -228,6 +232,10 @@
         ask = decode_ask(req)
         if isinstance(ask, HttpAnswer):
             return ask
+        if isinstance(ask, AliveAsk):
+            return HttpAnswer(200, encode(Told()))
+        if isinstance(ask, ReachAsk):
+            return HttpAnswer(200, encode(Told(known=self._parts.reaches(ask.address))))
         director = self._director()
         if director is None:
             return HttpAnswer(409, b"not the owner", "text/plain")
--- a/src/lacewingmill/jobs/election.py
+++ b/src/lacewingmill/jobs/election.py
@@ -18,7 +18,7 @@
 from lacewingmill.jobs.ports import ItemRevision, Put, Record, Transaction, TransactionStore
 from lacewingmill.ports import Clock
 
-__all__ = ["JobElector", "JobOwner", "Tenure"]
+__all__ = ["JobElector", "JobOwner", "Tenure", "Term"]
 
 # An owner that dies without a trace is replaced after this time; it must outlast several renewals.
 LEASE_S = 2.5
@@ -49,18 +49,31 @@
     lease: int
 
 
+@attrs.frozen
+class Term:
+    """Counts the owners.
+
+    :param replaced: whether other VMs ended the lease of this owner, which may live.
+    """
+
+    number: int
+    replaced: bool = False
+
+
 @attrs.define
 class Tenure:
     """This VM's ownership.
 
     :param fence: revision of the owner's key; workers refuse orders under a lower one.
     :param valid_until: until then certainly no other VM owns the jobs, in seconds.
+    :param earlier_valid_s: how long the owner before may still have sent orders, in seconds.
     """
 
     owner: JobOwner
     fence: int
     valid_until: float
     clock: Clock
+    earlier_valid_s: float = 0.0
     ended: bool = False
 
     @property
@@ -100,6 +113,7 @@
         self.eligible = False
         self.tenure: Tenure | None = None
         self.owner: JobOwner | None = None
+        self._owner_revision = 0
 
     def run(self) -> None:
         """Follow and elect for ever."""
@@ -129,6 +143,29 @@
         except StoreUnavailable as exc:
             self._log.emit(LogEvent.JOBS_LEASE_KEPT, owner=owner.vm, reason=exc.message)
 
+    def replace(self, owner: JobOwner) -> None:
+        """End the lease of an owner that other VMs do not reach.
+
+        The term says so first, because that owner may live until its own time is over.
+        """
+        try:
+            found = self._store.get(TERM_KEY)
+            if self.owner != owner or found is None:
+                return
+            term = Term(owner.term, replaced=True)
+            expect = (
+                ItemRevision(OWNER_KEY, self._owner_revision),
+                ItemRevision(TERM_KEY, found.revision),
+            )
+            self._store.commit(Transaction(expect, (Put(TERM_KEY, encode(term)),)))
+        except TransactionConflict:
+            return  # another VM was faster, or the owner has changed
+        except StoreUnavailable as exc:
+            self._log.emit(LogEvent.JOBS_LEASE_KEPT, owner=owner.vm, reason=exc.message)
+            return
+        self._log.emit(LogEvent.JOBS_OWNER_REPLACED, owner=owner.vm, term=owner.term)
+        self.end_lease(owner)
+
     def depose(self) -> None:
         """Another VM has shown a higher fence."""
         if self.tenure is not None:
@@ -141,6 +178,7 @@
             self._elect()
             return
         owner = decode(record.value, JobOwner)
+        self._owner_revision = record.revision
         self._set_owner(owner)
         if owner.vm == self._me.vm and self._is_stale(owner):
             self.end_lease(owner)
@@ -172,13 +210,15 @@
             return
         granted_at = self._clock.now()
         lease = self._store.grant(LEASE_S)
-        term = decode(term_record.value, int) + 1 if term_record is not None else 1
-        owner = attrs.evolve(self._me, term=term, lease=lease.lease)
+        earlier = decode(term_record.value, Term) if term_record is not None else Term(0)
+        owner = attrs.evolve(self._me, term=earlier.number + 1, lease=lease.lease)
         fence = self._claim(owner, term_record)
         valid_until = granted_at + lease.ttl_s - MARGIN_S
-        self.tenure = Tenure(owner, fence, valid_until, self._clock)
+        earlier_valid_s = LEASE_S if earlier.replaced else 0.0
+        self.tenure = Tenure(owner, fence, valid_until, self._clock, earlier_valid_s)
+        self._owner_revision = fence
         self._set_owner(owner)
-        self._log.emit(LogEvent.JOBS_TAKEN, fence=fence, term=term)
+        self._log.emit(LogEvent.JOBS_TAKEN, fence=fence, term=owner.term)
         gevent.spawn(self._renew, self.tenure, lease.ttl_s)
         self._take(self.tenure)
 
@@ -189,7 +229,7 @@
                 (ItemRevision(OWNER_KEY, 0), ItemRevision(TERM_KEY, term_revision)),
                 (
                     Put(OWNER_KEY, encode(owner), owner.lease),
-                    Put(TERM_KEY, encode(owner.term)),
+                    Put(TERM_KEY, encode(Term(owner.term))),
                 ),
             )
         )
--- a/src/lacewingmill/jobs/peers.py
+++ b/src/lacewingmill/jobs/peers.py
@@ -11,9 +11,11 @@
 
 __all__ = [
     "Accepted",
+    "AliveAsk",
     "Ask",
     "CancelAsk",
     "OwnerCalls",
+    "ReachAsk",
     "StateAsk",
     "Told",
     "WaitingAsk",
@@ -24,6 +26,8 @@
 CALL_TIMEOUT_S = 0.5
 # The owner waits for the store before it answers.
 STORED_TIMEOUT_S = 1.5
+# Any VM answers from its event loop, which is busy for some 10 ms at a time.
+ALIVE_TIMEOUT_S = 0.25
 NOT_OWNER = 409
 
 
@@ -58,11 +62,26 @@
     queue: str
 
 
+@attrs.frozen
+class AliveAsk:
+    """Asks whether a VM lives; any VM answers."""
+
+
+@attrs.frozen
+class ReachAsk:
+    """Asks any VM whether it reaches another one.
+
+    :param address: ``host:port`` of the other one.
+    """
+
+    address: str
+
+
 @attrs.frozen
 class Told:
     """The owner's answer.
 
-    :param known: whether the owner knows the job.
+    :param known: whether the owner knows the job, or whether the other VM is reached.
     """
 
     known: bool = True
@@ -70,13 +89,16 @@
     waiting: int = 0
 
 
-Ask = StateAsk | CancelAsk | Accepted | WaitingAsk
+Ask = StateAsk | CancelAsk | Accepted | WaitingAsk | AliveAsk | ReachAsk
 KINDS: dict[str, type] = {
     "/jobs/state": StateAsk,
     "/jobs/cancel": CancelAsk,
     "/jobs/accepted": Accepted,
     "/jobs/waiting": WaitingAsk,
+    "/vm/alive": AliveAsk,
+    "/vm/reaches": ReachAsk,
 }
+TIMEOUTS: dict[type, float] = {CancelAsk: STORED_TIMEOUT_S, AliveAsk: ALIVE_TIMEOUT_S}
 PATHS = {kind: path for path, kind in KINDS.items()}
 
 
@@ -92,13 +114,12 @@
         :raises NotOwner: when the VM at the address does not direct the jobs.
         :raises TransportError: when no answer came.
         """
-        stores = isinstance(ask, CancelAsk)
         reply = self._caller.call(
             address,
             "POST",
             PATHS[type(ask)],
             body=encode(ask),
-            timeout_s=STORED_TIMEOUT_S if stores else CALL_TIMEOUT_S,
+            timeout_s=TIMEOUTS.get(type(ask), CALL_TIMEOUT_S),
         )
         if reply.status == NOT_OWNER:
             raise NotOwner("the VM does not direct the jobs", step="ask", peer=address)
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -11,6 +11,7 @@
 from lacewingmill.jobs.election import JobElector, Tenure
 from lacewingmill.jobs.inbox import Inbox
 from lacewingmill.jobs.lease_clock import SLOW_CLOCK
+from lacewingmill.jobs.owner_watch import OwnerWatch
 from lacewingmill.jobs.roster import Roster
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.jobs.table_follower import TableFollower
@@ -58,6 +59,7 @@
     def attach(
         self,
         elector: JobElector,
+        owner_watch: OwnerWatch,
         front: HttpService,
         ready: HttpService,
         peers: HttpService,
@@ -65,6 +67,7 @@
     ) -> None:
         """Take the parts that call back into this object."""
         self._elector = elector
+        self._owner_watch = owner_watch
         self._front = front
         self._services = (peers, metrics, ready, front)
 
@@ -75,6 +78,7 @@
         for loop in (
             self._follower.run,
             self._elector.run,
+            self._owner_watch.run,
             self._directory.run,
             self._follow_readiness,
         ):
@@ -126,8 +130,9 @@
             self._load(load)
         self._loops.append(gevent.spawn(roster.follow))
         self._loops.append(gevent.spawn(inbox.follow))
-        hold_back_s = self._settings.limits.longest_hold_s * SLOW_CLOCK
-        director.take_over(hold_back_s if director.tenure.owner.term > 1 else 0.0)
+        tenure = director.tenure
+        hold_back_s = self._settings.limits.longest_hold_s * SLOW_CLOCK + tenure.earlier_valid_s
+        director.take_over(hold_back_s if tenure.owner.term > 1 else 0.0)
         director.run()
 
     def _load(self, load) -> None:
