Urgent jobs beyond their quota may destroy twice their own work

By the users' prices an answer in time is worth about twice that.

Test: a burst of urgent work beside young and old work (failed before).

--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -10,9 +10,10 @@
 
 __all__ = ["QuotaPlanner"]
 
-# An urgent job beyond its team's quota may destroy at most this share of the accelerator time that
-# it needs itself; otherwise the cluster loses more than it gains.
-WORTHWHILE_LOSS = 1.0
+# An urgent job beyond its team's quota may destroy at most this multiple of the accelerator time
+# that it needs itself: on the users' platform an answer in time is worth about twice its own work
+# at the price of work thrown away.
+WORTHWHILE_LOSS = 2.0
 
 
 class QuotaPlanner:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -103,6 +103,16 @@
     assert "claim" in cell.started
 
 
+@pytest.mark.parametrize(("elapsed_s", "evicted"), [(4.0, ["patient"]), (10.0, [])])
+def test_urgent_burst_beyond_quotas_evicts_young_work_only(elapsed_s, evicted):
+    """An urgent gang of 24 accelerator-seconds is worth the loss of 40, and not of 88."""
+    cell = Cell(quotas=[("rich", 0)])
+    cell.submit("patient", accelerators=8)
+    cell.now = elapsed_s
+    cell.submit("claim", team="rich", accelerators=8, urgent=True, expected_s=3.0)
+    assert cell.evicted == evicted
+
+
 def test_an_urgent_job_beyond_its_quota_destroys_no_more_than_it_needs():
     cell = Cell(quotas=[("rich", 0)])
     cell.submit("patient", accelerators=8)
