VMs are listed under leases

Cause: a VM that was replaced for good stayed in the list of VMs for ever. Calls to the store were relayed to it, each waiting half a second, and dead VMs that follow the owner in the ring would watch it.

Change: entries are under a lease of 20 s, renewed with each refresh; a VM takes its entry off at a planned stop, and registers again when its lease lapsed in an outage or its entry is missing. An owner is replaced only on another VM's word; with nobody to ask its lease has to lapse. Tests: VMs that are gone are asked no more (failed before), VMs are listed again after an outage of 40 s.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -48,6 +48,7 @@
     WORKER_LOST = (331, "warning", "A worker keeps silent or left; its gangs end whole.")
     WORKER_QUARANTINED = (332, "warning", "A worker fails job after job and takes none for now.")
     ORPHAN_RELEASED = (333, "warning", "A worker held a gang that nobody owns; it was released.")
+    VM_ENTRY_KEPT = (221, "warning", "A stopped VM stays listed until its lease lapses.")
     STORE_RELAYED = (212, "info", "Calls to the store go through another VM, or directly again.")
     JOBS_TAKEN = (400, "info", "This VM directs the jobs of the platform under the given fence.")
     JOBS_LOST = (401, "warning", "This VM directs the jobs no more; the reason is given.")
--- a/src/lacewingmill/jobs/owner_watch.py
+++ b/src/lacewingmill/jobs/owner_watch.py
@@ -91,11 +91,14 @@
         return ring[at + 1 :] + ring[:at]
 
     def _others_fail_too(self, owner: JobOwner) -> bool:
-        """Ask other VMs whether they reach the owner; the first that answers decides."""
+        """Ask other VMs whether they reach the owner; the first that answers decides.
+
+        Without an answer this VM may be the one that is cut off, and the lease has to lapse.
+        """
         others = [vm for vm in self._following(self._me, owner) if vm != owner.address]
         for other in others[:OPINIONS_ASKED]:
             try:
                 return not self._calls.ask(other, ReachAsk(owner.address)).known
             except PeerError:
                 continue  # it may be gone as well
-        return not others
+        return False
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -162,6 +162,7 @@
             earliest=began + DRAIN_S,
             latest=began + self._settings.limits.grace_s - EXIT_MARGIN_S,
         )
+        self._directory.leave()
         for service in self._services:
             service.close()
         self._log.emit(LogEvent.VM_STOPPED)
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -119,20 +119,42 @@
     assert run(fleet, fleet.state, "vm0", "urgent", job_id(2), seconds=0.1) == "completed"
 
 
-def test_an_owner_that_dies_silently_is_replaced_before_its_lease_lapses(fleet):
+def test_an_owner_that_dies_silently_is_replaced_before_its_lease_lapses():
     """Urgent work has a second or two, so a lease of 2.5 s is too long to wait for."""
+    fleet = PlatformFleet(vms=3)
     fleet.kill(fleet.owner)
     wait_for_owner(fleet, seconds=1.5)
     assert run(fleet, fleet.submit, fleet.owner, "urgent", job_id(1), [step()], "run_s=1") == 200
     assert run(fleet, fleet.state, fleet.owner, "urgent", job_id(1)) == "completed"
 
 
+def test_vms_that_are_gone_are_asked_no_more():
+    fleet = PlatformFleet(vms=3)
+    gone = next(vm for vm in fleet.vms if vm != fleet.owner)
+    fleet.kill(gone)
+    fleet.clock.advance(35.0)
+    for vm in fleet.vms.values():
+        assert f"{gone}:82" not in vm._directory.others()
+        assert len(vm._directory.others()) == 1
+
+
+def test_vms_are_listed_again_after_their_leases_lapsed(fleet):
+    fleet.kv.faults.down = True
+    fleet.clock.advance(40.0)
+    fleet.kv.faults.down = False
+    fleet.clock.advance(12.0)
+    for vm in fleet.vms.values():
+        assert len(vm._directory.others()) == 1
+
+
 def test_an_owner_that_one_vm_does_not_reach_stays():
     fleet = PlatformFleet(vms=4)
     owner = fleet.owner
-    for watcher in fleet.vms.keys() - {owner}:
+    for watcher in sorted(fleet.vms.keys() - {owner}):
         fleet.network.cut = {(watcher, f"{owner}:82")}
         fleet.clock.advance(4.0)
+        fleet.network.cut = set()
+        fleet.clock.advance(1.0)  # else two VMs do not reach it at the moment of the change
         assert fleet.owner == owner
 
 
