Work that begins after an unseen restart of its worker goes on

Cause: a worker that restarts under its id is noticed at the next look, and an idle worker is looked at only after new work has been ordered. All members on it were then taken for gone, those of the new incarnation too, and placed anew while they ran: the same task ran twice.

Change: a restart forgets acknowledgements only; what is missing from the worker's list is found as ever.

--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -370,10 +370,12 @@
                 self._listener.member_gone(self, member)
 
     def _restart(self, incarnation: int) -> None:
-        """The worker's process has started anew and knows nothing of before."""
+        """The worker's process has started anew and knows nothing of before.
+
+        Members may have begun there since; those of before are missing from its list.
+        """
         self._incarnation = incarnation
         self._acks.reset()
-        self._drop_all()
 
     def _replaced(self) -> None:
         self._drop_all()
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -33,6 +33,7 @@
         self.lost_answers: dict[str, int] = {}
         self.late_orders: dict[str, float] = {}
         self.lost_holds: dict[str, int] = {}
+        self.orders: dict[str, int] = {}
         self._store_address = store_address
 
     def caller(self, name: str) -> "_Caller":
@@ -122,6 +123,7 @@
     def _order(self, peer, path, headers, body, timeout_s):
         network = self._network
         executor = network.executors[peer]
+        network.orders[path] = network.orders.get(path, 0) + 1
         if path == "/hold" and network.lost_holds.get(executor.name, 0):
             network.lost_holds[executor.name] -= 1
             network.clock.sleep(timeout_s)
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -297,6 +297,18 @@
     fleet.check_promises()
 
 
+def test_runs_begun_after_an_unseen_restart_go_on(fleet):
+    """An idle worker is not looked at, so its restart is heard of after new work has begun."""
+    for executor in fleet.executors:
+        executor.crash()
+        fleet.operator.register(executor)
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=6")
+    fleet.clock.advance(12.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    assert [r.how for r in fleet.book.runs] == ["done"] * 4
+    fleet.check_promises()
+
+
 def test_a_silent_worker_is_left_alone_until_its_leases_have_lapsed(fleet):
     run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=15")
     silent = fleet.executors[2]
