--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -127,6 +127,7 @@
         self._book = book
         self._born_at = clock.now()
         self._until = 0.0
+        self._lapsed_at = 0.0
         self._highest: dict[str, int] = {}
         self._running: dict[str, Run] = {}
         self._ended: list[tuple[int, Run]] = []
@@ -252,7 +253,7 @@
             self._extend(req["deadline_ms"])
         for number, run in self._ended:
             if number <= req["acked_upto"]:
-                run.noted = True
+                run.noted = run.ended_at >= self._lapsed_at
         self._ended = [row for row in self._ended if row[0] > req["acked_upto"]]
         ends_at = self._clock.now() + min(LONGEST_WAIT_S, req.get("wait_ms", 0) / 1000)
         while not self._ended and self._clock.now() < ends_at:
@@ -290,6 +291,8 @@
         """Let time take effect: ends, lapses and checkpoints up to now."""
         now = self._clock.now()
         lapse_at = self._born_at + self._until / 1000
+        if lapse_at <= now:
+            self._lapsed_at = lapse_at
         for run in list(self._running.values()):
             if run.checkpointing and run.works_from is not None:
                 kept = int(self._done_s(run) / SAVE_EVERY_S) * SAVE_EVERY_S
