A worker is looked at though no start on it was answered

Cause: a member whose starts all got no answer was given up without a look at its worker.

Change: the link looks after a start without an answer.

--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -206,6 +206,7 @@
                     continue
                 return self._take_answer(member, OUTCOMES[answer.outcome], unanswered)
             self._fail()
+            self._wake.set()  # it may run, and its end must be heard of
             return StartResult.UNKNOWN
 
     def _send_start(self, member: Member, spec: str, saved: str, ticket: str) -> StartAnswer:
@@ -235,7 +236,10 @@
         if result in (StartResult.UNHEALTHY, StartResult.NO_ROOM):
             self._unhealthy_until = self._clock.now() + UNHEALTHY_PAUSE_S
             self._mark_silent()
-        return StartResult.UNKNOWN if unanswered else result
+        if unanswered:
+            self._wake.set()
+            return StartResult.UNKNOWN
+        return result
 
     def stop_run(self, member: Member) -> None:
         """Send a stop until it is answered or the member is gone."""
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -446,6 +446,19 @@
     assert [(r.number, r.how) for r in fleet.book.runs] == [(1, "done")] * 4
 
 
+def test_a_worker_is_looked_at_though_no_start_on_it_was_answered(fleet):
+    """Its gang may end through the other members, and its own end must be heard of."""
+    gang = [step(count=4, gpu=8, gang=True)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=0.1")
+    fleet.clock.advance(5.0)
+    fleet.network.lost_answers[fleet.executors[2].name] = 4
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(2), gang, "run_s=0.2")
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(3), gang, "run_s=0.2")
+    fleet.clock.advance(5.0)
+    for number in (2, 3):
+        assert run(fleet, fleet.state, "vm0", "ordinary", job_id(number)) == "completed"
+
+
 def test_steps_begun_before_their_needs_were_stored_go_on():
     """Ends that were seen and not stored are listed again, maybe later than what they opened."""
     fleet = PlatformFleet(vms=2)
