--- a/tests/test_platform_mixes.py
+++ b/tests/test_platform_mixes.py
@@ -11,8 +11,8 @@
 from tests.test_platform_path import run
 from tests.test_platform_recovery import wait_for_owner
 
-# Beside twelve at random those that failed once: 29 (a worker was not looked at after starts without
-# an answer), 33 (steps begun before their needs were stored were stopped and begun again).
+# Beside twelve at random those that failed once: 29 (a worker was not looked at after starts
+# without an answer), 33 (steps begun before their needs were stored were begun again).
 SEEDS = (*range(12), 29, 33)
 DAY_S = 24.0
 FAULT_EVERY_S = 2.5
