--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -18,7 +18,8 @@
 from lacewingmill.jobs.owner_watch import OwnerWatch
 from lacewingmill.jobs.peers import OwnerCalls
 from lacewingmill.jobs.ports import WorkerEntry
-from lacewingmill.jobs.relay import RELAY_PATHS, RelayedStore, StoreRelay
+from lacewingmill.jobs.relay import RelayedStore, StoreRelay
+from lacewingmill.jobs.relay_calls import RELAY_PATHS
 from lacewingmill.jobs.roster import Roster
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.jobs.table_follower import TableFollower
@@ -80,7 +81,7 @@
 
     vm = JobVm(settings, parts, clock, log, follower, roster_of, directory)
     me = JobOwner(settings.vm, settings.peers, uuid.uuid4().hex, 0, 0)
-    elector = JobElector(me, store, clock, log, vm.take, vm.leave, lambda owner: None, outside.rng)
+    elector = JobElector(me, store, clock, log, vm.take, vm.leave, outside.rng)
     calls = OwnerCalls(caller)
     owner_watch = OwnerWatch(settings.peers, elector, calls, directory, clock)
     desk = JobDesk(
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -15,6 +15,7 @@
 from lacewingmill.jobs.graph import JobGraph, Progress
 from lacewingmill.jobs.job_book import JobBook
 from lacewingmill.jobs.ledger import Ledger
+from lacewingmill.jobs.link_listener import Order
 from lacewingmill.jobs.messages import WorkersUsed
 from lacewingmill.jobs.model import QueueTable, Submission, Unit
 from lacewingmill.jobs.ports import (
@@ -30,7 +31,7 @@
 from lacewingmill.jobs.unit_planner import UnitPlanner
 from lacewingmill.jobs.unit_runner import UnitRunner
 from lacewingmill.jobs.units import Member
-from lacewingmill.jobs.worker_link import Order, WorkerLink
+from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.jobs.worker_pool import WorkerPool
 from lacewingmill.ports import Clock, Meter, Meters
 from lacewingmill.scheduling.messages import (
--- a/src/lacewingmill/jobs/election.py
+++ b/src/lacewingmill/jobs/election.py
@@ -88,7 +88,6 @@
     :param me: this VM; its term and lease are filled in.
     :param take: called when this VM becomes owner.
     :param leave: called when it is owner no more.
-    :param changed: called with the owner as far as it is known.
     """
 
     def __init__(
@@ -99,7 +98,6 @@
         log: EventLog,
         take: Callable[[Tenure], None],
         leave: Callable[[], None],
-        changed: Callable[[JobOwner | None], None],
         rng: random.Random,
     ):
         self._me = me
@@ -108,7 +106,6 @@
         self._log = log
         self._take = take
         self._leave = leave
-        self._changed = changed
         self._rng = rng
         self.eligible = False
         self.tenure: Tenure | None = None
@@ -174,12 +171,12 @@
     def _follow(self) -> None:
         record, revision = self._store.read(OWNER_KEY)
         if record is None:
-            self._set_owner(None)
+            self.owner = None
             self._elect()
             return
         owner = decode(record.value, JobOwner)
         self._owner_revision = record.revision
-        self._set_owner(owner)
+        self.owner = owner
         if owner.vm == self._me.vm and self._is_stale(owner):
             self.end_lease(owner)
             return
@@ -193,11 +190,6 @@
         """Whether this VM's record is from before its restart, or from an unanswered write."""
         return owner.incarnation != self._me.incarnation or self.tenure is None
 
-    def _set_owner(self, owner: JobOwner | None) -> None:
-        if owner != self.owner:
-            self.owner = owner
-            self._changed(owner)
-
     def _elect(self) -> None:
         if self.tenure is not None:
             self._lose("lease_ended")
@@ -217,7 +209,7 @@
         earlier_valid_s = LEASE_S if earlier.replaced else 0.0
         self.tenure = Tenure(owner, fence, valid_until, self._clock, earlier_valid_s)
         self._owner_revision = fence
-        self._set_owner(owner)
+        self.owner = owner
         self._log.emit(LogEvent.JOBS_TAKEN, fence=fence, term=owner.term)
         gevent.spawn(self._renew, self.tenure, lease.ttl_s)
         self._take(self.tenure)
--- a/src/lacewingmill/jobs/relay.py
+++ b/src/lacewingmill/jobs/relay.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-import attrs
 import msgspec
 
 from lacewingmill.adapters.http_client import HttpCaller
@@ -26,9 +25,26 @@
 )
 from lacewingmill.jobs.keys import OWNER_KEY
 from lacewingmill.jobs.ports import Changes, Lease, Record, Transaction, TransactionStore
+from lacewingmill.jobs.relay_calls import (
+    CALLS,
+    CONFLICT,
+    HISTORY_LOST,
+    LEASE_ENDED,
+    PATHS,
+    REFUSED,
+    UNANSWERED,
+    EndCall,
+    GrantCall,
+    ReadCall,
+    Reading,
+    RenewCall,
+    ScanCall,
+    Scanned,
+    WatchCall,
+)
 from lacewingmill.ports import Clock
 
-__all__ = ["RELAY_PATHS", "RelayedStore", "StoreRelay"]
+__all__ = ["RelayedStore", "StoreRelay"]
 
 # How long a way that failed is left alone before one call tries it again.
 REST_S = 0.5
@@ -47,64 +63,6 @@
 T = TypeVar("T")
 
 
-@attrs.frozen
-class _Read:
-    key: str
-
-
-@attrs.frozen
-class _Scan:
-    prefix: str
-
-
-@attrs.frozen
-class _Watch:
-    prefix: str
-    after: int
-    wait_s: float
-
-
-@attrs.frozen
-class _Grant:
-    ttl_s: float
-
-
-@attrs.frozen
-class _Renew:
-    lease: int
-
-
-@attrs.frozen
-class _End:
-    lease: int
-
-
-@attrs.frozen
-class _Reading:
-    record: Record | None
-    revision: int
-
-
-@attrs.frozen
-class _Scanned:
-    records: tuple[Record, ...]
-    revision: int
-
-
-CALLS: dict[str, type] = {
-    "/store/read": _Read,
-    "/store/scan": _Scan,
-    "/store/watch": _Watch,
-    "/store/commit": Transaction,
-    "/store/grant": _Grant,
-    "/store/renew": _Renew,
-    "/store/end": _End,
-}
-PATHS = {kind: path for path, kind in CALLS.items()}
-RELAY_PATHS = frozenset(CALLS)
-CONFLICT, LEASE_ENDED, HISTORY_LOST, REFUSED, UNANSWERED = 412, 404, 410, 503, 504
-
-
 class RelayedStore:
     """The store, directly or through another VM.
 
@@ -154,19 +112,19 @@
 
     def read(self, key: str) -> tuple[Record | None, int]:
         """Return a key, and a revision from which a watch of it misses nothing."""
-        found = self._call(lambda: _Reading(*self._direct.read(key)), _Read(key), _Reading)
+        found = self._call(lambda: Reading(*self._direct.read(key)), ReadCall(key), Reading)
         return found.record, found.revision
 
     def scan(self, prefix: str) -> tuple[tuple[Record, ...], int]:
         """Return all keys under a prefix, and a revision from which a watch misses nothing."""
-        found = self._call(lambda: _Scanned(*self._direct.scan(prefix)), _Scan(prefix), _Scanned)
+        found = self._call(lambda: Scanned(*self._direct.scan(prefix)), ScanCall(prefix), Scanned)
         return found.records, found.revision
 
     def watch(self, prefix: str, *, after: int, wait_s: float) -> Changes:
         """Wait for changes after a revision."""
         return self._call(
             lambda: self._direct.watch(prefix, after=after, wait_s=wait_s),
-            _Watch(prefix, after, wait_s),
+            WatchCall(prefix, after, wait_s),
             Changes,
         )
 
@@ -178,15 +136,15 @@
 
     def grant(self, ttl_s: float) -> Lease:
         """Return a new lease."""
-        return self._call(lambda: self._direct.grant(ttl_s), _Grant(ttl_s), Lease)
+        return self._call(lambda: self._direct.grant(ttl_s), GrantCall(ttl_s), Lease)
 
     def renew(self, lease: int) -> None:
         """Renew a lease."""
-        self._call(lambda: self._direct.renew(lease), _Renew(lease), type(None))
+        self._call(lambda: self._direct.renew(lease), RenewCall(lease), type(None))
 
     def end(self, lease: int) -> None:
         """End a lease now; its keys vanish."""
-        self._call(lambda: self._direct.end(lease), _End(lease), type(None))
+        self._call(lambda: self._direct.end(lease), EndCall(lease), type(None))
 
     def _call(self, direct: Callable[[], T], message: Any, kind: type[T]) -> T:
         """Try the store, then other VMs.
@@ -252,7 +210,7 @@
 
         Watches alone may be unanswered for a while, so a read tells.
         """
-        away = not (isinstance(message, _Watch) and self._reads())
+        away = not (isinstance(message, WatchCall) and self._reads())
         if away:
             self.rest(suspect=True)
         return away
@@ -298,7 +256,7 @@
         if not isinstance(message, Transaction):
             return self._relay(peer, message, kind, PROBE_TIMEOUT_S)
         try:
-            self._relay(peer, _Read(OWNER_KEY), _Reading, PROBE_TIMEOUT_S)
+            self._relay(peer, ReadCall(OWNER_KEY), Reading, PROBE_TIMEOUT_S)
         except StoreUnavailable as exc:
             raise StoreRefused(exc.message, step="probe", peer=peer) from exc
         return self._relay(peer, message, kind, RELAY_TIMEOUT_S)
@@ -369,17 +327,17 @@
 
     def _carry_out(self, message: Any) -> Any:
         match message:
-            case _Read(key):
-                return _Reading(*self._direct.read(key))
-            case _Scan(prefix):
-                return _Scanned(*self._direct.scan(prefix))
-            case _Watch(prefix, after, wait_s):
+            case ReadCall(key):
+                return Reading(*self._direct.read(key))
+            case ScanCall(prefix):
+                return Scanned(*self._direct.scan(prefix))
+            case WatchCall(prefix, after, wait_s):
                 return self._direct.watch(prefix, after=after, wait_s=wait_s)
-            case _Grant(ttl_s):
+            case GrantCall(ttl_s):
                 return self._direct.grant(ttl_s)
-            case _Renew(lease):
+            case RenewCall(lease):
                 return self._direct.renew(lease)
-            case _End(lease):
+            case EndCall(lease):
                 return self._direct.end(lease)
             case _:
                 return self._direct.commit(message)
--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -10,11 +10,12 @@
 from lacewingmill.jobs.election import Tenure
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.job_book import JobBook
+from lacewingmill.jobs.link_listener import StartResult
 from lacewingmill.jobs.model import TaskId, Unit
 from lacewingmill.jobs.ports import RunEnd, RunEnded, RunListed
 from lacewingmill.jobs.unit_planner import UnitPlanner
 from lacewingmill.jobs.units import ActiveUnit, Closing, Member, MemberState
-from lacewingmill.jobs.worker_link import StartResult, WorkerLink
+from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.ports import Clock, Meter, Meters
 from lacewingmill.scheduling.messages import (
     GangRejected,
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -1,8 +1,5 @@
 """The owner's link to one worker: orders, lease extension, and what the worker lists."""
 
-import enum
-from typing import Protocol
-
 import gevent
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
@@ -11,6 +8,7 @@
 from lacewingmill.jobs.election import Tenure
 from lacewingmill.jobs.end_acks import EndAcks
 from lacewingmill.jobs.lease_clock import LeaseClock
+from lacewingmill.jobs.link_listener import OUTCOMES, LinkListener, Order, StartResult
 from lacewingmill.jobs.model import TaskId
 from lacewingmill.jobs.ports import (
     HoldOrder,
@@ -25,7 +23,7 @@
 from lacewingmill.jobs.units import Member, MemberState
 from lacewingmill.ports import Clock
 
-__all__ = ["LinkListener", "Order", "StartResult", "WorkerLink"]
+__all__ = ["WorkerLink"]
 
 # The longest time that a worker lets an answer wait.
 LONGEST_WAIT_S = 2.0
@@ -50,65 +48,6 @@
 UNHEALTHY_PAUSE_S = 1.0
 
 
-class Order(enum.Enum):
-    """What a worker is told to do with a member."""
-
-    START = "start"
-    STOP = "stop"
-
-
-class StartResult(enum.Enum):
-    """What became of a start."""
-
-    STARTED = "started"
-    SUPERSEDED = "superseded"
-    NO_ROOM = "no_room"
-    NO_TICKET = "no_ticket"
-    UNHEALTHY = "unhealthy"
-    INVALID = "invalid"
-    UNKNOWN = "unknown"
-
-
-OUTCOMES = {
-    StartOutcome.STARTED: StartResult.STARTED,
-    StartOutcome.SUPERSEDED: StartResult.SUPERSEDED,
-    StartOutcome.NO_ROOM: StartResult.NO_ROOM,
-    StartOutcome.NO_TICKET: StartResult.NO_TICKET,
-    StartOutcome.UNHEALTHY: StartResult.UNHEALTHY,
-    StartOutcome.INVALID: StartResult.INVALID,
-}
-
-
-class LinkListener(Protocol):
-    """What a link tells its owner."""
-
-    def link_opened(self, link: "WorkerLink", report: HoldReport) -> None:
-        """The worker has answered for the first time, or after it had been given up."""
-
-    def link_reported(self, link: "WorkerLink", report: HoldReport) -> list[Event]:
-        """The worker has told its lists; returns what must be stored before ends are forgotten."""
-
-    def member_gone(self, link: "WorkerLink", member: Member) -> None:
-        """A member certainly runs no more, though no end of it was listed."""
-
-    def link_silent(self, link: "WorkerLink") -> None:
-        """The worker does not answer, or says that it is not well."""
-
-    def link_answers(self, link: "WorkerLink") -> None:
-        """The worker answers again."""
-
-    def link_lost(self, link: "WorkerLink") -> None:
-        """All leases on the worker have certainly lapsed."""
-
-    def order_unanswered(
-        self, link: "WorkerLink", member: Member, order: Order, exc: TransportError
-    ) -> None:
-        """An order for a member got no answer; it may be carried out, also later."""
-
-    def fenced(self) -> None:
-        """The worker obeys a higher fence."""
-
-
 class WorkerLink:
     """Talks to one worker under one tenure.
 
