--- a/src/lacewingmill/jobs/owner_watch.py
+++ b/src/lacewingmill/jobs/owner_watch.py
@@ -71,12 +71,13 @@
     def _probe(self, address: str) -> int:
         """Return 0 when a VM answers, else how many failed checks that is worth.
 
-        A refused connection proves that no process listens there, so it is worth all of them.
+        A refused connection proves that no process listens there, so it is worth all of them; one
+        that takes too long may be a lost packet.
         """
         try:
             self._calls.ask(address, AliveAsk())
-        except ConnectFailed:
-            return FAILED_CHECKS
+        except ConnectFailed as exc:
+            return FAILED_CHECKS if isinstance(exc.__cause__, ConnectionRefusedError) else 1
         except TransportError:
             return 1
         return 0
