Emulator: orders that wait in a process are lost with it

An order that a process leaves for later ends with it; the emulator kept it. The traces show no order sent by the product after the task had begun elsewhere.

--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -144,8 +144,11 @@
         return self._finish(answer, timeout_s)
 
     def _later(self, executor, path, headers, body, late_s) -> None:
+        """Carry an order out late; one that waits in a process is lost with it."""
+        born = executor.born
         self._network.clock.sleep(late_s)
-        executor.handle(path, headers, body)
+        if executor.born == born:
+            executor.handle(path, headers, body)
 
     def _finish(self, answer, timeout_s):
         network = self._network
