A stopping VM leaves the list at once, and a store that is away does not delay its stop

Cause: the entry was taken off at the end of the stop, within the margin before SIGKILL, by a call that takes 1.5 s while the store is away. It is taken off at the begin now, beside the stop. Test: a VM that stops hands the jobs over, leaves the list and serves on meanwhile (found by reading).

--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -155,6 +155,7 @@
         began = self._clock.now()
         self._front.drain()
         self._elector.hand_over()
+        gevent.spawn(self._directory.leave)  # a store that is away must not delay the stop
         wait_until_quiet(
             self._front,
             self._clock,
@@ -162,7 +163,6 @@
             earliest=began + DRAIN_S,
             latest=began + self._settings.limits.grace_s - EXIT_MARGIN_S,
         )
-        self._directory.leave()
         for service in self._services:
             service.close()
         self._log.emit(LogEvent.VM_STOPPED)
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -3,6 +3,7 @@
 import json
 
 import attrs
+import gevent
 import pytest
 
 from standins.platform import configuration
@@ -140,6 +141,22 @@
         assert len(vm._directory.others()) == 1
 
 
+def test_a_stopped_vm_hands_over_and_leaves_the_list_at_once(fleet):
+    """In the time that it still serves callers, another VM directs the jobs."""
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=3)], "run_s=5", seconds=1.0)
+    stopped = fleet.owner
+    gevent.spawn(fleet.vms[stopped]._stop)
+    fleet.clock.advance(1.0)
+    assert f"lacewingmill/vm/{stopped}" not in fleet.kv.keys("lacewingmill/vm/")
+    assert fleet.vms[stopped].director is None
+    assert fleet.owner is not None
+    assert run(fleet, fleet.submit, stopped, "ordinary", job_id(2), [step()]) == 200
+    fleet.clock.advance(8.0)
+    for number in (1, 2):
+        assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(number)) == "completed"
+    fleet.check_promises()
+
+
 def test_vms_are_listed_again_after_their_leases_lapsed(fleet):
     fleet.kv.faults.down = True
     fleet.clock.advance(40.0)
