Split the tests of recovery by what fails: VMs, the store, workers

The 40 tests stand in three files now, unchanged; the fixture and the wait for an owner, which four files share, in one place. No source changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,10 +8,16 @@
 gevent.config.resolver = "block"
 
 from standins.fleet import GUILD, WASCHPLAN, Fleet  # noqa: E402
+from tests.platform_fleet import PlatformFleet  # noqa: E402
 
 _BASES = itertools.count(21000, 300)
 
 
+@pytest.fixture
+def fleet():
+    return PlatformFleet()
+
+
 @pytest.fixture(scope="module")
 def guild_fleet():
     fleet = Fleet(GUILD, next(_BASES))
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -126,3 +126,11 @@
 
 def job_id(number):
     return f"{number:016x}"
+
+
+def wait_for_owner(fleet, seconds=6.0):
+    for _ in range(int(seconds / 0.1)):
+        if fleet.owner is not None:
+            return
+        fleet.clock.advance(0.1)
+    raise AssertionError("no VM directs the jobs")
--- a/tests/test_log_story.py
+++ b/tests/test_log_story.py
@@ -9,9 +9,8 @@
 from lacewingmill.cli import ExitCode, main
 from lacewingmill.events import configure_logging
 from lacewingmill.log_story import tell_story
-from tests.platform_fleet import PlatformFleet, job_id, step
+from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
-from tests.test_platform_recovery import wait_for_owner
 
 
 @pytest.fixture
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -3,9 +3,8 @@
 import gevent
 import pytest
 
-from tests.platform_fleet import PlatformFleet, job_id, step
+from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
-from tests.test_platform_recovery import wait_for_owner
 
 BATCH = [step(count=5), step(count=2, after=[0])]
 GANG = [step(count=2, gpu=8, gang=True)]
--- a/tests/test_platform_mixes.py
+++ b/tests/test_platform_mixes.py
@@ -7,9 +7,8 @@
 import pytest
 from gevent.event import Event
 
-from tests.platform_fleet import STORE, PlatformFleet, job_id, step
+from tests.platform_fleet import STORE, PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
-from tests.test_platform_recovery import wait_for_owner
 
 # Beside twelve at random those that failed once: 29 (a worker was not looked at after starts
 # without an answer), 33 (steps begun before their needs were stored were begun again).
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,15 +1,9 @@
 """Jobs of steps from hand-in to completion, through the adapters, on virtual time."""
 
 import gevent
-import pytest
 
 from standins.platform import configuration
-from tests.platform_fleet import PlatformFleet, job_id, step
-
-
-@pytest.fixture
-def fleet():
-    return PlatformFleet()
+from tests.platform_fleet import job_id, step
 
 
 def run(fleet, call, *args, seconds=3.0):
--- /dev/null
+++ b/tests/test_platform_workers.py
@@ -0,0 +1,111 @@
+"""Workers that restart, leave or keep silent, and orders that are late or lost, on virtual time."""
+
+import json
+
+from standins.platform import configuration
+from tests.platform_fleet import job_id, step
+from tests.test_platform_path import run
+
+
+def test_a_stop_is_seen_soon_though_a_look_gets_no_answer(fleet):
+    """An urgent gang waits for evicted work; a lost look must not cost it a whole long wait."""
+    fleet.operator.configure(configuration(2, quota=16))
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step(count=32)], "run_s=60")
+    gang = [step(count=2, gpu=8, gang=True)]
+    run(fleet, fleet.submit, "vm0", "urgent", job_id(2), gang, "run_s=1", seconds=0.15)
+    for executor in fleet.executors:
+        fleet.network.lost_holds[executor.name] = 1
+    fleet.clock.advance(2.85)
+    assert run(fleet, fleet.state, "vm0", "urgent", job_id(2), seconds=0.1) == "completed"
+
+
+def test_two_urgent_claims_never_wait_for_each_other(fleet):
+    """A claim beyond its quota pledges room; a claim within it must not count on that room."""
+    fleet.operator.configure(configuration(2, quota=16))
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step(count=32)], "run_s=60")
+    gang = [step(count=2, gpu=8, gang=True, est_runtime_ms=20000)]
+    for number in range(2, 6):
+        run(fleet, fleet.submit, "vm0", "urgent", job_id(number), gang, "run_s=2", seconds=0.01)
+    fleet.clock.advance(20.0)
+    for number in range(2, 6):
+        assert run(fleet, fleet.state, "vm0", "urgent", job_id(number)) == "completed"
+
+
+def test_a_start_that_is_carried_out_late_runs_nowhere_twice(fleet):
+    slow = fleet.executors[0]
+    fleet.network.late_orders[slow.name] = 3.0
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=3")
+    fleet.clock.advance(3.0)
+    fleet.network.late_orders.clear()
+    fleet.clock.advance(20.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    fleet.check_promises()
+
+
+def test_a_worker_that_restarts_under_its_id_loses_what_it_ran(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=8")
+    fleet.executors[1].crash()
+    fleet.operator.register(fleet.executors[1])
+    fleet.clock.advance(20.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    assert len(fleet.book.runs) == 5
+    fleet.check_promises()
+
+
+def test_runs_begun_after_an_unseen_restart_go_on(fleet):
+    """An idle worker is not looked at, so its restart is heard of after new work has begun."""
+    for executor in fleet.executors:
+        executor.crash()
+        fleet.operator.register(executor)
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=6")
+    fleet.clock.advance(12.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    assert [r.how for r in fleet.book.runs] == ["done"] * 4
+    fleet.check_promises()
+
+
+def test_a_run_that_nobody_wants_is_stopped_once(fleet):
+    """A worker without other work is looked at again and again until the run is gone."""
+    stray = fleet.executors[0]
+    fleet.book.jobs[job_id(9)] = fleet._facts([step(count=4)])
+    order = {"task": f"{job_id(9)}.0.0.3", "run": 1, "spec": "run_s=9", "deadline_ms": 10**9}
+    stray.handle("/run-start", {}, json.dumps(order | {"fence": stray.fence}).encode())
+    steps = [step(count=4, gpu=7)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=0.01", seconds=4.0)
+    assert fleet.book.runs[0].how == "stopped"
+    assert fleet.network.orders["/run-stop"] == 1
+
+
+def test_a_silent_worker_is_left_alone_until_its_leases_have_lapsed(fleet):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step(count=4, gpu=8)], "run_s=15")
+    silent = fleet.executors[2]
+    fleet.network.cut.add((fleet.owner, silent.entry["addr"]))
+    fleet.clock.advance(40.0)
+    fleet.network.cut.clear()
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    assert [r.how for r in fleet.book.runs if r.executor == silent.name][0] == "lapsed"
+    fleet.check_promises()
+
+
+def test_a_start_without_an_answer_is_sent_again_under_its_number(fleet):
+    """One lost order must not cost a whole gang: the worker starts the same run once."""
+    gang = [step(count=4, gpu=8, gang=True)]
+    for executor in fleet.executors:
+        fleet.network.lost_answers[executor.name] = 2
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=2")
+    fleet.clock.advance(4.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+    assert [(r.number, r.how) for r in fleet.book.runs] == [(1, "done")] * 4
+
+
+def test_a_worker_is_looked_at_though_no_start_on_it_was_answered(fleet):
+    """Its gang may end through the other members, and its own end must be heard of."""
+    gang = [step(count=4, gpu=8, gang=True)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=0.1")
+    fleet.clock.advance(5.0)
+    fleet.network.lost_answers[fleet.executors[2].name] = 4
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(2), gang, "run_s=0.2")
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(3), gang, "run_s=0.2")
+    fleet.clock.advance(5.0)
+    for number in (2, 3):
+        assert run(fleet, fleet.state, "vm0", "ordinary", job_id(number)) == "completed"
