Log how a process began and which error ended it

What on-call engineers saw: a process that ended at its start left a traceback or nothing. No log line said that a start had begun, so an account without a name, unusable settings, a taken address and a signal could not be told apart from the logs.

process_begins (108) is the first line, with the version of Python and the user id; process_failed (109) names the error that ends the process and its place. Running a VM as a process moves from the command line into serving.py, which both interfaces use; the entry VM reads its settings before it logs, as before.

Evidence: tests/test_start.py runs the deploy file's program as a process. Its two tests need the events and could not pass before.

--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -3,7 +3,6 @@
 import argparse
 import getpass
 import os
-import signal
 import sys
 import uuid
 from datetime import UTC, datetime
@@ -27,8 +26,6 @@
 __all__ = ["ExitCode", "main"]
 
 
-# How long the last log lines may take to be read at a planned stop, in seconds.
-LAST_LINES_S = 0.3
 SETTINGS_VARIABLE = "LACEWINGMILL_SETTINGS"
 
 
@@ -117,49 +114,21 @@
 
 def _serve(args: argparse.Namespace) -> int:
     gevent.config.resolver = "block"  # addresses are IP numbers; other resolvers start threads
-    from lacewingmill.composition import build_vm
-    from lacewingmill.events import configure_logging
-    from lacewingmill.settings import load_settings
+    from lacewingmill.serving import serve
 
-    settings = load_settings(args.settings)
-    configure_logging()
-    return _run_vm(build_vm(settings))
+    serve(args.settings)
+    return ExitCode.OK
 
 
 def _serve_jobs(args: argparse.Namespace) -> int:
     gevent.config.resolver = "block"  # addresses are IP numbers; other resolvers start threads
-    from lacewingmill.adapters.log_writer import standard_output
-    from lacewingmill.events import configure_logging
-    from lacewingmill.job_composition import build_job_vm
-    from lacewingmill.platform import load_platform_settings
+    from lacewingmill.serving import serve_jobs
 
     if args.settings is None:
         raise SettingsError(
             f"neither --settings nor ${SETTINGS_VARIABLE} is given", step="settings"
         )
-    writer = standard_output()
-    configure_logging(writer)
-    path = Path(args.settings)
-    vm = build_job_vm(load_platform_settings(path))
-
-    def reload() -> None:
-        try:
-            vm.reload(load_platform_settings(path))
-        except SettingsError as exc:
-            vm.reload_failed(exc.message)
-
-    gevent.signal_handler(signal.SIGHUP, reload)
-    code = _run_vm(vm)
-    writer.close(LAST_LINES_S)
-    return code
-
-
-def _run_vm(vm) -> int:
-    """Run a VM until SIGTERM or SIGINT has stopped it."""
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, vm.begin_stop)
-    vm.start()
-    vm.wait()
+    serve_jobs(Path(args.settings))
     return ExitCode.OK
 
 
--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -22,6 +22,8 @@
     SETTINGS_RELOADED = (106, "info", "The settings were read anew after SIGHUP; what changed.")
     SETTINGS_UNUSABLE = (107, "error", "Changed settings cannot be used; the old ones stay.")
     LINES_DROPPED = (105, "warning", "Lines of events that came too often were dropped; counted.")
+    PROCESS_BEGINS = (108, "info", "The process begins to start; nothing is accepted yet.")
+    PROCESS_FAILED = (109, "error", "The process ends by an error; it and its place are given.")
     REQUEST_CRASHED = (110, "error", "A request raised an unexpected error; others go on.")
     CATALOGUE_IN_FORCE = (200, "info", "A configuration revision is in force on this VM.")
     CATALOGUE_UNREADABLE = (201, "error", "A published document cannot be read; the old one stays.")
--- /dev/null
+++ b/src/lacewingmill/serving.py
@@ -0,0 +1,95 @@
+"""Runs a VM as a process, and logs how the process began and why it ended."""
+
+import os
+import platform
+import signal
+import traceback
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import gevent
+
+from lacewingmill.adapters.log_writer import standard_output
+from lacewingmill.events import EventLog, LogEvent, configure_logging
+from lacewingmill.exceptions import SettingsError
+from lacewingmill.lifecycle import StoppableVm
+
+__all__ = ["serve", "serve_jobs"]
+
+# How long the last log lines may take to be read at the end of the process, in seconds.
+LAST_LINES_S = 0.3
+# Stands for the VM's name in log lines until its settings are read.
+UNNAMED_VM = "unnamed"
+
+
+def serve(path: Path) -> None:
+    """Run an entry VM until it is stopped.
+
+    :param path: its YAML settings.
+    :raises SettingsError: when they cannot be used.
+    """
+    from lacewingmill.composition import build_vm
+    from lacewingmill.settings import load_settings
+
+    settings = load_settings(path)
+    configure_logging()
+    with _logged(path):
+        _run(build_vm(settings))
+
+
+def serve_jobs(path: Path) -> None:
+    """Run a VM on the users' platform until it is stopped.
+
+    :param path: the platform's settings file.
+    :raises SettingsError: when it cannot be used.
+    """
+    from lacewingmill.job_composition import build_job_vm
+    from lacewingmill.platform import load_platform_settings
+
+    writer = standard_output()
+    configure_logging(writer)
+    try:
+        with _logged(path):
+            vm = build_job_vm(load_platform_settings(path))
+
+            def reload() -> None:
+                try:
+                    vm.reload(load_platform_settings(path))
+                except SettingsError as exc:
+                    vm.reload_failed(exc.message)
+
+            gevent.signal_handler(signal.SIGHUP, reload)
+            _run(vm)
+    finally:
+        writer.close(LAST_LINES_S)
+
+
+def _run(vm: StoppableVm) -> None:
+    """Run a VM until SIGTERM or SIGINT has stopped it."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, vm.begin_stop)
+    vm.start()
+    vm.wait()
+
+
+@contextmanager
+def _logged(path: Path) -> Iterator[None]:
+    """Log that the process begins, and the error that ends it."""
+    log = EventLog(UNNAMED_VM)
+    log.emit(
+        LogEvent.PROCESS_BEGINS,
+        settings=str(path),
+        python=platform.python_version(),
+        user_id=os.getuid(),
+    )
+    try:
+        yield
+    except Exception as exc:
+        origin = traceback.extract_tb(exc.__traceback__)[-1]
+        log.emit(
+            LogEvent.PROCESS_FAILED,
+            error=repr(exc),
+            where=f"{Path(origin.filename).name}:{origin.lineno} in {origin.name}",
+        )
+        raise
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,145 @@
+"""The start of ``serve-jobs`` as the deploy file runs it: a process, and no platform to reach."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+LAUNCH = ROOT / "deploy" / "launch.py"
+# A start that takes longer hangs; one takes about a second on a busy machine.
+WATCHDOG_S = 60.0
+POLL_S = 0.02
+
+
+def free_ports(count):
+    """Return ports that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class VmProcess:
+    """One VM, its settings file and its standard output.
+
+    :param prelude: Python code that the process runs before the launcher.
+    """
+
+    def __init__(self, folder, prelude=""):
+        self.front, self.ready, self.peers, self.store = free_ports(4)
+        self.path = folder / "settings.conf"
+        self.output = folder / "stdout"
+        self._prelude = prelude
+        self._process = None
+        self.path.write_text(self.settings())
+
+    def settings(self):
+        fields = {
+            "node": "vm0",
+            "zone": "z0",
+            "ip": "127.0.0.1",
+            "listen.front": f"127.0.0.1:{self.front}",
+            "listen.ready": f"127.0.0.1:{self.ready}",
+            "port_range": f"{self.peers},{self.peers + 9}",
+            "bounds.grace_s": 6,
+            "bounds.max_hold_ms": 6000,
+            "bounds.status_s": 120,
+            "platform.addr": f"127.0.0.1:{self.store}",
+        }
+        return "".join(f"{name}={value}\n" for name, value in fields.items())
+
+    def start(self):
+        code = (
+            f"{self._prelude}\nimport runpy, sys\nsys.argv = ['launch.py', 'serve-jobs']\n"
+            f"runpy.run_path({str(LAUNCH)!r}, run_name='__main__')"
+        )
+        env = {"PATH": "/usr/bin:/bin", "LANG": "C", "LACEWINGMILL_SETTINGS": str(self.path)}
+        with self.output.open("wb") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-c", code], stdout=output, stderr=output, cwd=ROOT, env=env
+            )
+
+    def wait(self, reached):
+        """Wait until a condition holds; the process must not end before."""
+        give_up_at = time.monotonic() + WATCHDOG_S
+        while not reached():
+            assert self._process.poll() is None, self.output.read_text()
+            assert time.monotonic() < give_up_at, self.output.read_text()
+            time.sleep(POLL_S)
+
+    def serving(self):
+        """Whether the VM answers the balancer."""
+        conn = HTTPConnection("127.0.0.1", self.ready)
+        try:
+            conn.request("GET", "/ready")
+            return conn.getresponse().status == 503  # there is no configuration
+        except (OSError, HTTPException):
+            return False
+        finally:
+            conn.close()
+
+    def events(self):
+        lines = self.output.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}")]
+
+    def logged(self, event):
+        return any(line["event"] == event for line in self.events())
+
+    def signal(self, number):
+        self._process.send_signal(number)
+
+    def end(self):
+        return self._process.wait(WATCHDOG_S)
+
+    def kill(self):
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+
+@pytest.fixture
+def vm(tmp_path):
+    """A VM that is ended with its test."""
+    made = []
+
+    def make(**arguments):
+        made.append(VmProcess(tmp_path, **arguments))
+        return made[-1]
+
+    yield make
+    for process in made:
+        process.kill()
+
+
+def test_a_start_and_a_planned_stop_are_logged(vm):
+    process = vm()
+    process.start()
+    process.wait(process.serving)
+    process.signal(signal.SIGTERM)
+    assert process.end() == 0
+    names = [line["event"] for line in process.events()]
+    assert names[0] == "process_begins"
+    assert "vm_started" in names and names[-1] == "vm_stopped"
+
+
+def test_an_error_that_ends_the_process_is_logged_with_its_place(vm):
+    process = vm(
+        prelude="import gevent, lacewingmill.lifecycle as lifecycle\n"
+        "def fail(vm): raise OSError('on purpose')\n"
+        "lifecycle.StoppableVm.wait = fail"
+    )
+    process.start()
+    assert process.end() == 1
+    failed = process.events()[-1]
+    assert failed["event"] == "process_failed"
+    assert failed["error"] == "OSError('on purpose')" and failed["where"].endswith(" in fail")
