A test of the FAULT, listed: a VM must start under a user id without a name

What callers saw: no VM served. The platform gives a process neither USER nor LOGNAME, and its account need not stand in the machine's list.

The test starts the deploy file's program with the look-up of the account failing as it does there.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -143,3 +143,18 @@
     failed = process.events()[-1]
     assert failed["event"] == "process_failed"
     assert failed["error"] == "OSError('on purpose')" and failed["where"].endswith(" in fail")
+
+
+NO_ACCOUNT = """
+import pwd
+def unknown(uid):
+    raise KeyError(f"getpwuid(): uid not found: {uid}")
+pwd.getpwuid = unknown
+"""
+
+
+# Guards against a FAULT: every VM ended at its start where its user id had no name.
+def test_a_vm_starts_under_a_user_id_without_a_name(vm):
+    process = vm(prelude=NO_ACCOUNT)
+    process.start()
+    process.wait(process.serving)
