A VM starts under a user id without a name

Cause: the default of "publish --by" was evaluated while the command line was built, for every command. It asked the list of accounts, which need not hold the user id, and the KeyError ended the process before a command was chosen. The default is now worked out by publish alone, which falls back to the user id.

Why it works: no command but publish looks at the account any more.

--- a/src/lacewingmill/cli.py
+++ b/src/lacewingmill/cli.py
@@ -84,7 +84,7 @@
     publish = _add(commands, "publish", _publish, "check and publish service files")
     publish.add_argument("directory", type=Path)
     publish.add_argument("--base", type=int, help="refuse unless this revision is in force")
-    publish.add_argument("--by", default=getpass.getuser(), help="operator named in the audit")
+    publish.add_argument("--by", help="operator named in the audit")
     status = _add(commands, "status", _status, "show the entry VMs and the cell")
     explain = _add(commands, "explain", _explain, "say why a job waits, runs or ended")
     explain.add_argument("job")
@@ -160,7 +160,7 @@
 
     services = load_services(args.directory)
     client = _client(args)
-    order = PublishOrder(services, args.by, uuid.uuid4().hex, args.base)
+    order = PublishOrder(services, args.by or _operator(), uuid.uuid4().hex, args.base)
     result = client.publish(order)
     statuses = client.wait_in_force(result.index.revision)
     if args.json:
@@ -178,6 +178,14 @@
     return ExitCode.OK if in_force else ExitCode.FAILED
 
 
+def _operator() -> str:
+    """Return who runs the command; an account need not have a name."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):  # OSError since Python 3.13
+        return f"uid {os.getuid()}"
+
+
 def _status(args: argparse.Namespace) -> int:
     client = _client(args)
     statuses, cell = client.statuses(), client.cell()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,8 +1,11 @@
 """What operators read: help, messages for wrong files, exit codes."""
 
+import os
+
 import pytest
 
 from lacewingmill.cli import ExitCode, main
+from lacewingmill.exceptions import PublishConflict
 
 RIGHT = """
 service: svc
@@ -71,7 +74,6 @@
 )
 def test_help(command, capsys, snapshot, monkeypatch):
     monkeypatch.setenv("COLUMNS", "90")
-    monkeypatch.setenv("LOGNAME", "operator")
     with pytest.raises(SystemExit) as caught:
         main([*command.split(), "--help"])
     assert caught.value.code == 0
@@ -102,3 +104,26 @@
     code, _, err = run(capsys, "publish", str(tmp_path), "--to", "http://127.0.0.1:1")
     assert code == ExitCode.INVALID
     assert "expects" in err
+
+
+# Guards against a publication that fails, or names nobody, where accounts have no names.
+def test_publish_names_an_operator_whose_account_has_no_name(tmp_path, monkeypatch):
+    orders = []
+
+    class Client:
+        def __init__(self, url):
+            pass
+
+        def publish(self, order):
+            orders.append(order)
+            raise PublishConflict(1, 2)
+
+    def unknown():
+        raise KeyError("getpwuid(): uid not found")
+
+    monkeypatch.setattr("getpass.getuser", unknown)
+    monkeypatch.setattr("lacewingmill.client.OperatorClient", Client)
+    arguments = ["publish", str(write(tmp_path, RIGHT)), "--to", "http://127.0.0.1:1"]
+    assert main(arguments) == ExitCode.CONFLICT
+    assert main([*arguments, "--by", "ann"]) == ExitCode.CONFLICT
+    assert [order.by for order in orders] == [f"uid {os.getuid()}", "ann"]
