SIGHUP while a VM starts does not end it

What callers saw: a VM that was gone again right after its start, and came back later, when the settings changed at that moment.

Cause: the handler stood only once the VM was built, and the default action of SIGHUP ends a process. Settings are read after that, so no change is missed.

Evidence: test_a_vm_that_is_told_of_changed_settings_while_it_starts_goes_on sends the signal at four moments of the start, fixed by what the process imports: all four ended it before. The signal while the settings are read is followed by another read; before, it ended the process, too.

Left: the first milliseconds, in which the interpreter itself starts.

--- a/src/lacewingmill/serving.py
+++ b/src/lacewingmill/serving.py
@@ -13,7 +13,7 @@
 from lacewingmill.adapters.log_writer import standard_output
 from lacewingmill.events import EventLog, LogEvent, configure_logging
 from lacewingmill.exceptions import SettingsError
-from lacewingmill.lifecycle import StoppableVm
+from lacewingmill.signals import ProcessSignals
 
 __all__ = ["serve", "serve_jobs"]
 
@@ -35,7 +35,11 @@
     settings = load_settings(path)
     configure_logging()
     with _logged(path):
-        _run(build_vm(settings))
+        vm = build_vm(settings)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, vm.begin_stop)
+        vm.start()
+        vm.wait()
 
 
 def serve_jobs(path: Path) -> None:
@@ -44,6 +48,7 @@
     :param path: the platform's settings file.
     :raises SettingsError: when it cannot be used.
     """
+    signals = ProcessSignals()
     from lacewingmill.job_composition import build_job_vm
     from lacewingmill.platform import load_platform_settings
 
@@ -59,20 +64,13 @@
                 except SettingsError as exc:
                     vm.reload_failed(exc.message)
 
-            gevent.signal_handler(signal.SIGHUP, reload)
-            _run(vm)
+            vm.start()
+            signals.connect(vm.begin_stop, reload)
+            vm.wait()
     finally:
         writer.close(LAST_LINES_S)
 
 
-def _run(vm: StoppableVm) -> None:
-    """Run a VM until SIGTERM or SIGINT has stopped it."""
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, vm.begin_stop)
-    vm.start()
-    vm.wait()
-
-
 @contextmanager
 def _logged(path: Path) -> Iterator[None]:
     """Log that the process begins, and the error that ends it."""
--- /dev/null
+++ b/src/lacewingmill/signals.py
@@ -0,0 +1,42 @@
+"""Signals to the process, which may come before its VM exists."""
+
+import signal
+from collections.abc import Callable
+
+import gevent
+
+__all__ = ["ProcessSignals"]
+
+
+class ProcessSignals:
+    """Takes signals from its construction on, and passes them on once a VM can act on them.
+
+    SIGTERM and SIGINT ask for a planned stop, SIGHUP for another read of the settings.
+    """
+
+    def __init__(self):
+        self._stop: Callable[[], None] | None = None
+        self._reload: Callable[[], None] | None = None
+        self._reload_asked = False
+        self.stop_asked = False
+        gevent.signal_handler(signal.SIGTERM, self._ask_stop)
+        gevent.signal_handler(signal.SIGINT, self._ask_stop)
+        gevent.signal_handler(signal.SIGHUP, self._ask_reload)
+
+    def connect(self, stop: Callable[[], None], reload: Callable[[], None]) -> None:
+        """Pass signals on from now on, and those that have come already."""
+        self._stop, self._reload = stop, reload
+        if self.stop_asked:
+            stop()
+        elif self._reload_asked:
+            reload()
+
+    def _ask_stop(self) -> None:
+        self.stop_asked = True
+        if self._stop is not None:
+            self._stop()
+
+    def _ask_reload(self) -> None:
+        self._reload_asked = True
+        if self._reload is not None:
+            self._reload()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -39,7 +39,7 @@
         self.front, self.ready, self.peers, self.store = free_ports(4)
         self.path = folder / "settings.conf"
         self.output = folder / "stdout"
-        self._prelude = prelude
+        self.prelude = prelude
         self._process = None
         self.path.write_text(self.settings())
 
@@ -60,7 +60,7 @@
 
     def start(self):
         code = (
-            f"{self._prelude}\nimport runpy, sys\nsys.argv = ['launch.py', 'serve-jobs']\n"
+            f"{self.prelude}\nimport runpy, sys\nsys.argv = ['launch.py', 'serve-jobs']\n"
             f"runpy.run_path({str(LAUNCH)!r}, run_name='__main__')"
         )
         env = {"PATH": "/usr/bin:/bin", "LANG": "C", "LACEWINGMILL_SETTINGS": str(self.path)}
@@ -158,3 +158,35 @@
     process = vm(prelude=NO_ACCOUNT)
     process.start()
     process.wait(process.serving)
+
+
+def hang_up(moment):
+    """Return a prelude that sends the process SIGHUP when it first does something."""
+    return (
+        "import os, signal, sys\n"
+        "sent = []\n"
+        "def hook(event, args):\n"
+        f"    if not sent and (event, str(args[0] if args else '')) == {moment!r}:\n"
+        "        sent.append(event)\n"
+        "        os.kill(os.getpid(), signal.SIGHUP)\n"
+        "sys.addaudithook(hook)\n"
+    )
+
+
+# Guards against a process that ends when its settings change while it starts.
+@pytest.mark.parametrize(
+    "module", ["lacewingmill.cli", "gevent", "lacewingmill.serving", "lacewingmill.job_composition"]
+)
+def test_a_vm_that_is_told_of_changed_settings_while_it_starts_goes_on(vm, module):
+    process = vm(prelude=hang_up(("import", module)))
+    process.start()
+    process.wait(process.serving)
+
+
+# Guards against settings that stay old because the signal came while they were being read.
+def test_settings_that_change_while_they_are_read_are_read_again(vm):
+    process = vm()
+    process.prelude = hang_up(("open", str(process.path)))
+    process.start()
+    process.wait(lambda: process.logged("settings_reloaded"))
+    process.wait(process.serving)
