Settings of the platform that cannot be used are named, whatever is wrong with them

What callers saw: a VM that ended with a traceback at its start, or that took no notice of changed settings and wrote no line about it.

Cause: bytes that are no text raised UnicodeDecodeError, and a port that is no number ValueError; both the start and the reload expect SettingsError only. An address without a port was found when it was listened on. Reading now checks addresses and ports, and settings.py lends its check of HOST:PORT.

Evidence: test_a_settings_file_that_is_no_text_is_named and four more cases of test_settings_that_cannot_be_used_are_named failed before.

--- a/src/lacewingmill/platform/settings.py
+++ b/src/lacewingmill/platform/settings.py
@@ -4,6 +4,7 @@
 
 from lacewingmill.exceptions import SettingsError
 from lacewingmill.jobs.settings import JobVmSettings, PlatformLimits
+from lacewingmill.settings import is_address, is_port
 
 __all__ = ["load_platform_settings"]
 
@@ -17,22 +18,24 @@
         message names the field.
     """
     try:
-        text = path.read_text()
+        text = path.read_text(encoding="utf-8")
     except OSError as exc:
         raise SettingsError(f"cannot read {path}: {exc.strerror}", step="settings") from exc
+    except UnicodeDecodeError as exc:
+        raise SettingsError(f"cannot read {path}: {exc}", step="settings") from exc
     fields = _Fields(_parse(text, path))
     host = fields.text("ip")
     # port_range: the ports between VMs; the first one carries calls between lacewingmill VMs.
-    peer_port = fields.text("port_range").split(",")[0]
+    peer_port = fields.port("port_range")
     return JobVmSettings(
         vm=fields.text("node"),
         failure_domain=fields.text("zone"),
-        front=fields.text("listen.front"),
-        ready=fields.text("listen.ready"),
+        front=fields.address("listen.front"),
+        ready=fields.address("listen.ready"),
         peers=f"{host}:{peer_port}",
-        metrics=f"{host}:{int(peer_port) + 1}",
-        store=fields.text("platform.addr"),
-        advice=fields.optional("advice"),
+        metrics=f"{host}:{peer_port + 1}",
+        store=fields.address("platform.addr"),
+        advice=fields.address("advice") if fields.optional("advice") else "",
         limits=PlatformLimits(
             # grace_s: from SIGTERM to SIGKILL.
             grace_s=fields.number("bounds.grace_s"),
@@ -71,6 +74,23 @@
         """Return a field that may be missing or empty."""
         return self._fields.get(name, "")
 
+    def address(self, name: str) -> str:
+        """Return a field of the form ``host:port``."""
+        value = self.text(name)
+        if not is_address(value):
+            raise SettingsError(f"field {name} must be HOST:PORT, not {value!r}", step="settings")
+        return value
+
+    def port(self, name: str) -> int:
+        """Return the first port of a range."""
+        value = self.text(name)
+        first = value.split(",")[0]
+        if not is_port(first):
+            raise SettingsError(
+                f"field {name} must be a range of ports, not {value!r}", step="settings"
+            )
+        return int(first)
+
     def number(self, name: str) -> float:
         """Return a field as a number."""
         value = self.text(name)
--- a/src/lacewingmill/settings.py
+++ b/src/lacewingmill/settings.py
@@ -7,7 +7,7 @@
 from lacewingmill.exceptions import SettingsError
 from lacewingmill.yaml_files import parse_duration_s, read_yaml, structure_document
 
-__all__ = ["Settings", "load_settings"]
+__all__ = ["Settings", "is_address", "is_port", "load_settings"]
 
 
 @attrs.frozen
@@ -68,7 +68,7 @@
 def _check(document: _SettingsDocument, path: Path) -> Settings:
     findings = []
     for key in ("listen", "control", "store", "vm_list"):
-        if not _is_address(getattr(document, key)):
+        if not is_address(getattr(document, key)):
             findings.append(f"{path}: {key}: expected HOST:PORT, an IP number and a port")
     durations = {}
     for key in ("drain", "stop_within", "stale_after"):
@@ -90,6 +90,12 @@
     )
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Whether a text has the form ``host:port``."""
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+    return bool(host) and is_port(port)
+
+
+def is_port(text: str) -> bool:
+    """Whether a text is the number of a port."""
+    return text.isdecimal() and 0 < int(text) < 65536
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -178,6 +178,10 @@
         ("platform.addr=", "field platform.addr is missing"),
         ("bounds.grace_s=soon", "field bounds.grace_s must be a number, not 'soon'"),
         ("nonsense", "line 1 has no '='"),
+        ("port_range=seven,eight", "field port_range must be a range of ports, not 'seven,eight'"),
+        ("listen.front=10.1.0.19", "field listen.front must be HOST:PORT, not '10.1.0.19'"),
+        ("platform.addr=10.9.0.1:port", "field platform.addr must be HOST:PORT"),
+        ("advice=nowhere", "field advice must be HOST:PORT, not 'nowhere'"),
     ],
 )
 def test_settings_that_cannot_be_used_are_named(tmp_path, change, message):
@@ -189,6 +193,14 @@
         load_platform_settings(path)
 
 
+# Guards against a process that ends, or a reload that leaves no line, at bytes that are no text.
+def test_a_settings_file_that_is_no_text_is_named(tmp_path):
+    path = tmp_path / "settings.conf"
+    path.write_bytes(b"node=\xff\xfe\n")
+    with pytest.raises(SettingsError, match="cannot read .*settings.conf"):
+        load_platform_settings(path)
+
+
 def test_settings_become_seconds_and_addresses(tmp_path):
     path = tmp_path / "settings.conf"
     path.write_text("\n".join([*SETTINGS, "a.new.field=1"]))
