A VM waits for a settings file that is being written

What callers saw: a VM that ended at once with code 3 when it started while its settings file was missing, empty or cut short; three such ends count as a FAULT of the machine.

Cause: one read at the start decided. The file is placed at every start and whenever the settings change, so that a read may meet it half written. serve-jobs now reads it again every 0.1 s, says so once a reason (settings_awaited, 111), takes SIGTERM meanwhile, and ends with code 3 as before when the file is still wrong after 10 s.

Evidence: test_a_vm_waits_for_settings_that_are_being_written failed before for an empty file, one that is cut in a field, and one that is missing (exit code 3); the end of the wait is tested on virtual time.

--- a/src/lacewingmill/serving.py
+++ b/src/lacewingmill/serving.py
@@ -4,21 +4,28 @@
 import platform
 import signal
 import traceback
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 
 import gevent
 
+from lacewingmill.adapters.clock import GeventClock
 from lacewingmill.adapters.log_writer import standard_output
 from lacewingmill.events import EventLog, LogEvent, configure_logging
 from lacewingmill.exceptions import SettingsError
+from lacewingmill.jobs.settings import JobVmSettings
+from lacewingmill.ports import Clock
 from lacewingmill.signals import ProcessSignals
 
-__all__ = ["serve", "serve_jobs"]
+__all__ = ["await_settings", "serve", "serve_jobs"]
 
 # How long the last log lines may take to be read at the end of the process, in seconds.
 LAST_LINES_S = 0.3
+# Traffic starts 12 s after the VMs do; a file that is wrong until then is not being written.
+SETTINGS_WAIT_S = 10.0
+# A file is written in milliseconds.
+SETTINGS_RETRY_S = 0.1
 # Stands for the VM's name in log lines until its settings are read.
 UNNAMED_VM = "unnamed"
 
@@ -55,12 +62,19 @@
     writer = standard_output()
     configure_logging(writer)
     try:
-        with _logged(path):
-            vm = build_job_vm(load_platform_settings(path))
+        with _logged(path) as log:
+
+            def load() -> JobVmSettings:
+                return load_platform_settings(path)
+
+            settings = await_settings(load, GeventClock(), log, signals)
+            if settings is None:
+                return
+            vm = build_job_vm(settings)
 
             def reload() -> None:
                 try:
-                    vm.reload(load_platform_settings(path))
+                    vm.reload(load())
                 except SettingsError as exc:
                     vm.reload_failed(exc.message)
 
@@ -71,8 +85,31 @@
         writer.close(LAST_LINES_S)
 
 
+def await_settings(
+    load: Callable[[], JobVmSettings], clock: Clock, log: EventLog, signals: ProcessSignals
+) -> JobVmSettings | None:
+    """Read the settings, again while they cannot be used: the platform may be writing the file.
+
+    :return: ``None`` when the process is asked to stop meanwhile.
+    :raises SettingsError: when they cannot be used for too long.
+    """
+    give_up_at = clock.now() + SETTINGS_WAIT_S
+    reason = ""
+    while not signals.stop_asked:
+        try:
+            return load()
+        except SettingsError as exc:
+            if clock.now() >= give_up_at:
+                raise
+            if exc.message != reason:
+                reason = exc.message
+                log.emit(LogEvent.SETTINGS_AWAITED, reason=reason)
+        clock.sleep(SETTINGS_RETRY_S)
+    return None
+
+
 @contextmanager
-def _logged(path: Path) -> Iterator[None]:
+def _logged(path: Path) -> Iterator[EventLog]:
     """Log that the process begins, and the error that ends it."""
     log = EventLog(UNNAMED_VM)
     log.emit(
@@ -82,7 +119,7 @@
         user_id=os.getuid(),
     )
     try:
-        yield
+        yield log
     except Exception as exc:
         origin = traceback.extract_tb(exc.__traceback__)[-1]
         log.emit(
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -7,9 +7,18 @@
 import sys
 import time
 from http.client import HTTPConnection, HTTPException
+from io import StringIO
 from pathlib import Path
+from types import SimpleNamespace
 
+import gevent
 import pytest
+import structlog
+from fakes import VirtualClock
+
+from lacewingmill.events import EventLog, configure_logging
+from lacewingmill.exceptions import SettingsError
+from lacewingmill.serving import SETTINGS_WAIT_S, await_settings
 
 ROOT = Path(__file__).parent.parent
 LAUNCH = ROOT / "deploy" / "launch.py"
@@ -190,3 +199,47 @@
     process.start()
     process.wait(lambda: process.logged("settings_reloaded"))
     process.wait(process.serving)
+
+
+# Guards against a process that ends because its settings file is still being written.
+@pytest.mark.parametrize("unfinished", ["", "node=vm0\nip=127.0.0.1\nlisten.fr", None])
+def test_a_vm_waits_for_settings_that_are_being_written(vm, unfinished):
+    process = vm()
+    if unfinished is None:
+        process.path.unlink()
+    else:
+        process.path.write_text(unfinished)
+    process.start()
+    process.wait(lambda: process.logged("settings_awaited"))
+    process.path.write_text(process.settings())
+    process.wait(process.serving)
+
+
+def test_a_vm_that_waits_for_its_settings_stops_when_it_is_told_to(vm):
+    process = vm()
+    process.path.write_text("")
+    process.start()
+    process.wait(lambda: process.logged("settings_awaited"))
+    process.signal(signal.SIGTERM)
+    assert process.end() == 0
+
+
+def test_settings_that_stay_wrong_end_the_wait_with_their_fault():
+    clock, stream = VirtualClock(), StringIO()
+    configure_logging(stream)
+
+    def load():
+        raise SettingsError("field ip is missing", step="settings")
+
+    waiting = gevent.spawn(
+        await_settings, load, clock, EventLog("vm0"), SimpleNamespace(stop_asked=False)
+    )
+    try:
+        clock.advance(SETTINGS_WAIT_S - 1.0)
+        assert not waiting.ready()
+        clock.advance(2.0)
+        with pytest.raises(SettingsError, match="field ip is missing"):
+            waiting.get()
+    finally:
+        structlog.reset_defaults()
+    assert stream.getvalue().count("settings_awaited") == 1
