A VM waits for an address that is taken

What callers saw: a VM that ended with code 1, an uncaught "Address already in use", when another process still held one of its addresses, or one that the host had not set up yet.

Cause: listening was tried once, and an error of the least important of four addresses ended the process. A VM on the platform serves without its metrics until their address is free. The entry VM of the product's own interface listens the same way.

Evidence: test_a_vm_waits_for_an_address_that_is_taken (three addresses), ..._of_its_metrics_is_taken and ..._that_waits_for_an_address_stops_when_it_is_told_to failed before with exit code 1.

--- a/src/lacewingmill/adapters/http_server.py
+++ b/src/lacewingmill/adapters/http_server.py
@@ -8,6 +8,8 @@
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from lacewingmill.exceptions import ListenFailed
+
 __all__ = ["HttpAnswer", "HttpRequest", "HttpService", "split_address"]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -121,6 +123,7 @@
         handle: Callable[[HttpRequest], HttpAnswer],
         on_error: Callable[[BaseException], None] | None = None,
     ):
+        self.address = address
         self._handle = handle
         self._on_error = on_error
         self._server = _Server(
@@ -135,8 +138,16 @@
         self._draining = False
 
     def start(self) -> None:
-        """Begin to accept connections."""
-        self._server.start()
+        """Begin to accept connections.
+
+        :raises ListenFailed: when the address cannot be listened on.
+        """
+        try:
+            self._server.start()
+        except OSError as exc:
+            raise ListenFailed(
+                f"cannot listen: {exc.strerror}", step="listen", peer=self.address
+            ) from exc
 
     @property
     def port(self) -> int:
--- a/src/lacewingmill/exceptions.py
+++ b/src/lacewingmill/exceptions.py
@@ -14,6 +14,7 @@
     "FenceRejected",
     "JobRefused",
     "LacewingmillError",
+    "ListenFailed",
     "WorkerReplaced",
     "TransactionConflict",
     "StoreRefused",
@@ -128,6 +129,10 @@
     """The work was sent, and whether it ran cannot be proved."""
 
 
+class ListenFailed(LacewingmillError):
+    """An address of this VM cannot be listened on."""
+
+
 class PeerError(LacewingmillError):
     """Root of errors in talking to another process."""
 
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -69,12 +69,18 @@
         self._elector = elector
         self._owner_watch = owner_watch
         self._front = front
-        self._services = (peers, metrics, ready, front)
+        self._ready = ready
+        self._peers = peers
+        self._metrics = metrics
 
     def start(self) -> None:
-        """Listen and start the loops."""
-        for service in self._services:
-            service.start()
+        """Listen and start the loops; return at once when a planned stop has begun."""
+        # Requests can be served without metrics, but not without the other addresses.
+        gevent.spawn(self._listen, self._metrics, self._clock, self._log)
+        for service in (self._peers, self._ready, self._front):
+            self._listen(service, self._clock, self._log)
+        if self._stopping:
+            return
         for loop in (
             self._follower.run,
             self._elector.run,
@@ -163,7 +169,7 @@
             earliest=began + DRAIN_S,
             latest=began + self._settings.limits.grace_s - EXIT_MARGIN_S,
         )
-        for service in self._services:
+        for service in (self._peers, self._metrics, self._ready, self._front):
             service.close()
         self._log.emit(LogEvent.VM_STOPPED)
         self._stopped.set()
--- a/src/lacewingmill/lifecycle.py
+++ b/src/lacewingmill/lifecycle.py
@@ -7,18 +7,28 @@
 from gevent.event import Event
 
 from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.exceptions import ListenFailed
 from lacewingmill.ports import Clock
 
 __all__ = ["ReadinessLog", "StoppableVm", "wait_until_quiet"]
 
 POLL_S = 0.05
+# The process before needs up to a few seconds to give its addresses back.
+LISTEN_RETRY_S = 0.2
 
 
 class Serving(Protocol):
-    """A service that counts its requests."""
+    """A service at an address, which counts its requests."""
 
+    address: str
     in_flight: int
 
+    def start(self) -> None:
+        """Begin to accept connections.
+
+        :raises ListenFailed: when the address cannot be listened on.
+        """
+
 
 class ReadinessLog:
     """Writes a line whenever a VM turns ready or not."""
@@ -53,6 +63,19 @@
             self._stopping = True
             gevent.spawn(self._stop)
 
+    def _listen(self, service: Serving, clock: Clock, log: EventLog) -> None:
+        """Start a service, as soon as its address is free, unless a planned stop begins."""
+        reported = False
+        while not self._stopping:
+            try:
+                service.start()
+                return
+            except ListenFailed as exc:
+                if not reported:
+                    log.emit(LogEvent.ADDRESS_TAKEN, address=service.address, reason=exc.message)
+                reported = True
+            clock.sleep(LISTEN_RETRY_S)
+
     @abstractmethod
     def _stop(self) -> None:
         """Finish what is in flight and set ``_stopped``."""
--- a/src/lacewingmill/serving.py
+++ b/src/lacewingmill/serving.py
@@ -78,8 +78,8 @@
                 except SettingsError as exc:
                     vm.reload_failed(exc.message)
 
-            vm.start()
             signals.connect(vm.begin_stop, reload)
+            vm.start()
             vm.wait()
     finally:
         writer.close(LAST_LINES_S)
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -79,9 +79,11 @@
         self._control_service = control_service
 
     def start(self) -> None:
-        """Listen and start the loops."""
-        self._control_service.start()
-        self._entry_service.start()
+        """Listen and start the loops; return at once when a planned stop has begun."""
+        for service in (self._control_service, self._entry_service):
+            self._listen(service, self._clock, self._log)
+        if self._stopping:
+            return
         for loop in (
             self._follow_list,
             self._follow_store,
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -243,3 +243,40 @@
     finally:
         structlog.reset_defaults()
     assert stream.getvalue().count("settings_awaited") == 1
+
+
+def occupied(port):
+    """Return a socket that another process might hold at a port of the VM."""
+    sock = socket.create_server(("127.0.0.1", port))
+    sock.listen()
+    return sock
+
+
+# Guards against a process that ends because one of its addresses is still taken.
+@pytest.mark.parametrize("name", ["front", "ready", "peers"])
+def test_a_vm_waits_for_an_address_that_is_taken(vm, name):
+    process = vm()
+    with occupied(getattr(process, name)):
+        process.start()
+        process.wait(lambda: process.logged("address_taken"))
+        assert not process.logged("vm_started")
+    process.wait(lambda: process.logged("vm_started"))
+    process.wait(process.serving)
+
+
+# Guards against a process that ends because the address of its metrics is taken.
+def test_a_vm_serves_while_the_address_of_its_metrics_is_taken(vm):
+    process = vm()
+    with occupied(process.peers + 1):
+        process.start()
+        process.wait(lambda: process.logged("address_taken"))
+        process.wait(process.serving)
+
+
+def test_a_vm_that_waits_for_an_address_stops_when_it_is_told_to(vm):
+    process = vm()
+    with occupied(process.front):
+        process.start()
+        process.wait(lambda: process.logged("address_taken"))
+        process.signal(signal.SIGTERM)
+        assert process.end() == 0
