A VM starts with closed standard streams

What callers saw: a VM that ended with code 1 when nobody gave it standard streams. Shown by hand; since signals are taken first it no longer ended, but wrote its log lines into the loop's own descriptor.

Cause: the log writer takes descriptor 1 for granted. Where it is closed, the next thing that is opened gets its number. Serving now begins by opening the null device in the place of each closed stream.

Evidence: test_a_vm_starts_with_closed_standard_streams, in three variants, failed before.

--- a/src/lacewingmill/serving.py
+++ b/src/lacewingmill/serving.py
@@ -12,6 +12,7 @@
 
 from lacewingmill.adapters.clock import GeventClock
 from lacewingmill.adapters.log_writer import standard_output
+from lacewingmill.adapters.streams import open_standard_streams
 from lacewingmill.events import EventLog, LogEvent, configure_logging
 from lacewingmill.exceptions import SettingsError
 from lacewingmill.jobs.settings import JobVmSettings
@@ -36,6 +37,7 @@
     :param path: its YAML settings.
     :raises SettingsError: when they cannot be used.
     """
+    open_standard_streams()
     from lacewingmill.composition import build_vm
     from lacewingmill.settings import load_settings
 
@@ -55,6 +57,7 @@
     :param path: the platform's settings file.
     :raises SettingsError: when it cannot be used.
     """
+    open_standard_streams()
     signals = ProcessSignals()
     from lacewingmill.job_composition import build_job_vm
     from lacewingmill.platform import load_platform_settings
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,6 +1,7 @@
 """The start of ``serve-jobs`` as the deploy file runs it: a process, and no platform to reach."""
 
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -67,15 +68,21 @@
         }
         return "".join(f"{name}={value}\n" for name, value in fields.items())
 
-    def start(self):
+    def start(self, closed=()):
+        """Start the process, with some of its standard streams closed."""
         code = (
             f"{self.prelude}\nimport runpy, sys\nsys.argv = ['launch.py', 'serve-jobs']\n"
             f"runpy.run_path({str(LAUNCH)!r}, run_name='__main__')"
         )
         env = {"PATH": "/usr/bin:/bin", "LANG": "C", "LACEWINGMILL_SETTINGS": str(self.path)}
         with self.output.open("wb") as output:
+            closing = "".join(f" {number}>&-" for number in closed)
             self._process = subprocess.Popen(
-                [sys.executable, "-c", code], stdout=output, stderr=output, cwd=ROOT, env=env
+                ["sh", "-c", f'exec "$0" -c "$1"{closing}', sys.executable, code],
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+                env=env,
             )
 
     def wait(self, reached):
@@ -104,6 +111,10 @@
     def logged(self, event):
         return any(line["event"] == event for line in self.events())
 
+    def opened(self, descriptor):
+        """Return what a descriptor of the process stands for."""
+        return os.readlink(f"/proc/{self._process.pid}/fd/{descriptor}")
+
     def signal(self, number):
         self._process.send_signal(number)
 
@@ -280,3 +291,15 @@
         process.wait(lambda: process.logged("address_taken"))
         process.signal(signal.SIGTERM)
         assert process.end() == 0
+
+
+# Guards against a process without standard streams that ends, or writes its log into a socket.
+@pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
+def test_a_vm_starts_with_closed_standard_streams(vm, closed):
+    process = vm()
+    process.start(closed)
+    process.wait(process.serving)
+    assert [process.opened(number) for number in closed] == ["/dev/null"] * len(closed)
+    process.signal(signal.SIGTERM)
+    assert process.end() == 0
+    assert process.logged("vm_stopped") is (1 not in closed)
