An unexpected error in one task is logged and does not end the process

What callers saw: nothing so far; found by looking for the same class of fault. An error in a greenlet left a traceback among the log lines, and a SystemError, which extension modules raise, ended the whole process.

Cause: gevent prints such errors and throws the kinds it calls system errors into the main greenlet. Its documented hook for errors now writes task_failed (113) with the error and its place, and passes on only requests to end the process (SystemExit, KeyboardInterrupt) and errors of the loop itself.

Evidence: test_an_error_of_one_task_is_logged_and_ends_no_other; without the hook its case of SystemError reaches the main greenlet, and no line is written.

--- a/src/lacewingmill/serving.py
+++ b/src/lacewingmill/serving.py
@@ -3,7 +3,6 @@
 import os
 import platform
 import signal
-import traceback
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -18,6 +17,7 @@
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.ports import Clock
 from lacewingmill.signals import ProcessSignals
+from lacewingmill.tasks import log_failed_tasks, place_of
 
 __all__ = ["await_settings", "serve", "serve_jobs"]
 
@@ -44,6 +44,7 @@
     settings = load_settings(path)
     configure_logging()
     with _logged(path):
+        log_failed_tasks(EventLog(settings.vm))
         vm = build_vm(settings)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, vm.begin_stop)
@@ -73,6 +74,7 @@
             settings = await_settings(load, GeventClock(), log, signals)
             if settings is None:
                 return
+            log_failed_tasks(EventLog(settings.vm))
             vm = build_job_vm(settings)
 
             def reload() -> None:
@@ -124,10 +126,5 @@
     try:
         yield log
     except Exception as exc:
-        origin = traceback.extract_tb(exc.__traceback__)[-1]
-        log.emit(
-            LogEvent.PROCESS_FAILED,
-            error=repr(exc),
-            where=f"{Path(origin.filename).name}:{origin.lineno} in {origin.name}",
-        )
+        log.emit(LogEvent.PROCESS_FAILED, error=repr(exc), where=place_of(exc))
         raise
