A loop that fails unexpectedly begins anew

What callers saw: nothing so far; found by looking for the same class of fault. A VM whose loop met an error that nothing expects lived on without it: configurations stayed old, the owner was not watched or replaced, or the balancer kept a VM that should not be ready.

Cause: each loop expects the errors of its calls, and any other ended its greenlet for good. The loops of both kinds of VM, and the owner's followers of jobs and workers, now run under keep_running: the error is logged with its place (loop_failed, 114), and the loop begins anew after 0.5 s. Each of them reads the store first when it begins, so nothing of before is needed.

Evidence: test_each_loop_of_a_vm_goes_on_after_an_unexpected_error (four loops) and test_a_vm_whose_election_failed_unexpectedly_still_takes_over failed before.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -27,6 +27,7 @@
     SETTINGS_AWAITED = (111, "warning", "The settings cannot be used yet; they are read again.")
     ADDRESS_TAKEN = (112, "warning", "An address cannot be listened on yet; it is tried again.")
     TASK_FAILED = (113, "error", "A task ended by an unexpected error; the others go on.")
+    LOOP_FAILED = (114, "error", "A loop met an unexpected error and begins anew.")
     REQUEST_CRASHED = (110, "error", "A request raised an unexpected error; others go on.")
     CATALOGUE_IN_FORCE = (200, "info", "A configuration revision is in force on this VM.")
     CATALOGUE_UNREADABLE = (201, "error", "A published document cannot be read; the old one stays.")
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -17,6 +17,7 @@
 from lacewingmill.jobs.table_follower import TableFollower
 from lacewingmill.lifecycle import ReadinessLog, StoppableVm, wait_until_quiet
 from lacewingmill.ports import Clock
+from lacewingmill.tasks import keep_running
 
 __all__ = ["JobVm"]
 
@@ -88,7 +89,7 @@
             self._directory.run,
             self._follow_readiness,
         ):
-            gevent.spawn(loop)
+            gevent.spawn(keep_running, loop, self._clock, self._log)
         cfg = self._settings
         self._log.emit(LogEvent.VM_STARTED, listen=cfg.front, peers=cfg.peers, metrics=cfg.metrics)
 
@@ -134,8 +135,8 @@
         roster: Roster = self._roster_of(director.pool.update)
         for load in (inbox.load, roster.load):
             self._load(load)
-        self._loops.append(gevent.spawn(roster.follow))
-        self._loops.append(gevent.spawn(inbox.follow))
+        for loop in (roster.follow, inbox.follow):
+            self._loops.append(gevent.spawn(keep_running, loop, self._clock, self._log))
         tenure = director.tenure
         hold_back_s = self._settings.limits.longest_hold_s * SLOW_CLOCK + tenure.earlier_valid_s
         director.take_over(hold_back_s if tenure.owner.term > 1 else 0.0)
--- a/src/lacewingmill/tasks.py
+++ b/src/lacewingmill/tasks.py
@@ -1,14 +1,18 @@
 """Greenlets of a VM, and what becomes of an error in one that nothing expects."""
 
 import traceback
+from collections.abc import Callable
 from pathlib import Path
 
 import gevent
 
 from lacewingmill.events import EventLog, LogEvent
+from lacewingmill.ports import Clock
 
-__all__ = ["log_failed_tasks", "place_of"]
+__all__ = ["keep_running", "log_failed_tasks", "place_of"]
 
+# A loop that fails at once each time must leave the processor to the others.
+LOOP_RETRY_S = 0.5
 # Errors that ask the process to end; all others end one task only.
 ENDING = (KeyboardInterrupt, SystemExit)
 
@@ -33,3 +37,16 @@
             log.emit(LogEvent.TASK_FAILED, error=repr(exc), where=place_of(exc))
 
     hub.handle_error = handle_error
+
+
+def keep_running(loop: Callable[[], None], clock: Clock, log: EventLog) -> None:
+    """Run a loop until it returns; one that ends by an error is begun anew."""
+    while True:
+        try:
+            loop()
+            return
+        except (Exception, gevent.Timeout) as exc:
+            log.emit(
+                LogEvent.LOOP_FAILED, loop=loop.__qualname__, error=repr(exc), where=place_of(exc)
+            )
+        clock.sleep(LOOP_RETRY_S)
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -22,6 +22,7 @@
 from lacewingmill.settings import Settings
 from lacewingmill.status import VmStatus
 from lacewingmill.store_keys import INDEX_KEY, LIVE_PREFIX
+from lacewingmill.tasks import keep_running
 
 __all__ = ["EntryVm"]
 
@@ -93,7 +94,7 @@
             self._ordinary.run,
             self._follow_readiness,
         ):
-            gevent.spawn(loop)
+            gevent.spawn(keep_running, loop, self._clock, self._log)
         self._log.emit(LogEvent.VM_STARTED, listen=self._settings.listen)
 
     def why_not_ready(self) -> str:
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -6,9 +6,11 @@
 import gevent
 import pytest
 import structlog
+from fakes import VirtualClock
 
 from lacewingmill.events import EventLog, configure_logging
-from lacewingmill.tasks import log_failed_tasks
+from lacewingmill.tasks import LOOP_RETRY_S, keep_running, log_failed_tasks
+from tests.platform_fleet import PlatformFleet, wait_for_owner
 
 
 @pytest.fixture
@@ -50,3 +52,65 @@
     finally:
         del gevent.get_hub().handle_error
     assert lines() == []
+
+
+@pytest.mark.parametrize("error", [ValueError("unexpected"), gevent.Timeout(1)])
+def test_a_loop_that_fails_begins_anew_after_a_pause(lines, error):
+    clock, begun = VirtualClock(), []
+
+    def loop():
+        begun.append(clock.now())
+        if len(begun) < 3:
+            raise error
+
+    running = gevent.spawn(keep_running, loop, clock, EventLog("vm0"))
+    clock.advance(LOOP_RETRY_S * 3)
+    assert running.ready()
+    assert [at - begun[0] for at in begun] == [0.0, LOOP_RETRY_S, 2 * LOOP_RETRY_S]
+    assert [line["event"] for line in lines()] == ["loop_failed"] * 2
+
+
+def fail_once(part, name):
+    """Let a method fail the next time that it is called."""
+    method = getattr(part, name)
+
+    def fail(*args, **kwargs):
+        setattr(part, name, method)
+        raise ValueError("on purpose")
+
+    setattr(part, name, fail)
+
+
+# Guards against a VM that lives on with one of its loops dead.
+@pytest.mark.parametrize(
+    ("loop", "name"),
+    [
+        (lambda vm: vm._follower, "_follow"),
+        (lambda vm: vm._owner_watch, "_watches"),
+        (lambda vm: vm._directory, "_refresh"),
+        (lambda vm: vm, "why_not_ready"),
+    ],
+)
+def test_each_loop_of_a_vm_goes_on_after_an_unexpected_error(loop, name, lines):
+    fleet = PlatformFleet(vms=1)
+    wait_for_owner(fleet)
+    calls = []
+    part = loop(fleet.vms["vm0"])
+    method = getattr(part, name)
+    fail_once(part, name)
+    fleet.clock.advance(12.0)
+    assert [line["event"] for line in lines()].count("loop_failed") == 1
+    setattr(part, name, lambda *args: calls.append(name) or method(*args))
+    fleet.clock.advance(12.0)
+    assert calls
+
+
+def test_a_vm_whose_election_failed_unexpectedly_still_takes_over(lines):
+    fleet = PlatformFleet(vms=2)
+    wait_for_owner(fleet)
+    other = "vm1" if fleet.owner == "vm0" else "vm0"
+    fail_once(fleet.vms[other]._elector, "_elect")
+    fleet.kill(fleet.owner)
+    fleet.clock.advance(6.0)
+    assert "loop_failed" in [line["event"] for line in lines()]
+    assert fleet.owner == other
