An owner of which a part has failed gives the jobs up

What callers saw: nothing so far; found by looking for the same class of fault. An owner whose planner, ticker, writer or link to a worker met an error that nothing expects renewed its lease and directed nothing, or nothing on that worker, until its process ended: jobs were accepted and never ran.

Cause: each of these greenlets ended for good, and nobody was told. They are started guarded now: the director gives its tenure up (jobs_lost, 401, reason "failed") and ends the lease, and the next owner rebuilds everything from the store and the workers, which is what a takeover does anyway. Such an owner may be the same VM. hand_over is the same step with another reason.

Ruled out: beginning the part anew, because what the director holds in memory may be wrong.

Evidence: test_an_owner_that_fails_unexpectedly_gives_the_jobs_up_and_they_are_done failed before for each of planner, ticker, writer and link (on virtual time); after it all jobs complete and none runs twice.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -1,7 +1,7 @@
 """The owner's side of jobs: brings jobs, workers and the decision core together."""
 
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 import attrs
 import gevent
@@ -43,6 +43,7 @@
     StartGang,
     StopGang,
 )
+from lacewingmill.tasks import spawn_guarded
 
 __all__ = ["Director", "DirectorParts"]
 
@@ -72,14 +73,22 @@
 
     :param tenure: its fence goes with every order.
     :param deposed: called when another VM proves to be the owner.
+    :param failed: called when a part of it has ended by an unexpected error.
     """
 
-    def __init__(self, parts: DirectorParts, tenure: Tenure, deposed: Callable[[], None]):
+    def __init__(
+        self,
+        parts: DirectorParts,
+        tenure: Tenure,
+        deposed: Callable[[], None],
+        failed: Callable[[], None],
+    ):
         clock, log, meters = parts.clock, parts.log, parts.meters
         self._parts = parts
         self._clock = clock
         self._log = log
         self._deposed = deposed
+        self._failed = failed
         self._began_at = clock.now()
         self._parked: dict[str, Unit] = {}
         self._stopped = False
@@ -87,7 +96,9 @@
         self._loops: list[gevent.Greenlet] = []
         self.tenure = tenure
         self.open = False
-        self.ledger = Ledger(parts.store, clock, tenure.fence, self._committed, self.fenced)
+        self.ledger = Ledger(
+            parts.store, clock, tenure.fence, self._committed, self.fenced, self.failed
+        )
         self.book = JobBook(self.ledger, clock, meters)
         self._advice = AdviceBook(parts.advisor, clock, log)
         self._planner = UnitPlanner(clock, parts.table, self._act)
@@ -128,7 +139,7 @@
 
     def run(self) -> None:
         """Plan until the tenure ends."""
-        self._loops.append(gevent.spawn(self._tick))
+        self._loops.append(spawn_guarded(self._tick, self.failed))
         while not self._stopped:
             self._planner.wake.wait()
             self._planner.wake.clear()
@@ -157,7 +168,8 @@
             held_back=self._takeover.held_back,
         )
         if silent:
-            self._loops.append(gevent.spawn(self._release_later, silent, hold_back_s))
+            release = partial(self._release_later, silent, hold_back_s)
+            self._loops.append(spawn_guarded(release, self.failed))
         self._planner.wake.set()
 
     def submit(self, submission: Submission, revision: int) -> None:
@@ -225,6 +237,12 @@
             self._stopped = True
             gevent.spawn(self._deposed)
 
+    def failed(self) -> None:
+        """A part of the director has ended by an unexpected error; what it knows may be wrong."""
+        if not self._stopped:
+            self._stopped = True
+            gevent.spawn(self._failed)
+
     def _connect(self, entry: WorkerEntry) -> WorkerLink:
         parts = self._parts
         return WorkerLink(entry, parts.orders, self.tenure, parts.clock, parts.limits, self)
--- a/src/lacewingmill/jobs/election.py
+++ b/src/lacewingmill/jobs/election.py
@@ -127,10 +127,17 @@
     def hand_over(self) -> None:
         """Give the ownership up at once, at a planned stop."""
         self.eligible = False
-        tenure = self.tenure
-        if tenure is None:
+        if self.tenure is not None:
+            self.resign(self.tenure, "handed_over")
+
+    def resign(self, tenure: Tenure, reason: str) -> None:
+        """Give a tenure up at once, so that any eligible VM, this one too, may follow.
+
+        :param reason: one word for the log.
+        """
+        if self.tenure is not tenure:
             return
-        self._lose("handed_over")
+        self._lose(reason)
         self.end_lease(tenure.owner)
 
     def end_lease(self, owner: JobOwner) -> None:
--- a/src/lacewingmill/jobs/ledger.py
+++ b/src/lacewingmill/jobs/ledger.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import attrs
-import gevent
 from gevent.event import Event
 
 from lacewingmill.codec import encode
@@ -12,6 +11,7 @@
 from lacewingmill.jobs.keys import OWNER_KEY
 from lacewingmill.jobs.ports import ItemRevision, Put, Transaction, TransactionStore
 from lacewingmill.ports import Clock
+from lacewingmill.tasks import spawn_guarded
 
 __all__ = ["Ledger"]
 
@@ -40,6 +40,7 @@
     :param fence: revision of the owner's key.
     :param committed: called with each key and the message that is in the store now.
     :param deposed: called when another VM owns the jobs.
+    :param failed: called when writing has ended by an unexpected error.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         fence: int,
         committed: Callable[[str, Any], None],
         deposed: Callable[[], None],
+        failed: Callable[[], None],
     ):
         self._store = store
         self._clock = clock
@@ -59,7 +61,7 @@
         self._staged: dict[str, _Staged] = {}
         self._work = Event()
         self._stopped = False
-        self._loop = gevent.spawn(self._run)
+        self._loop = spawn_guarded(self._run, failed)
 
     def know(self, key: str, revision: int) -> None:
         """Remember the revision of a key that was found in the store."""
--- a/src/lacewingmill/jobs/link_listener.py
+++ b/src/lacewingmill/jobs/link_listener.py
@@ -72,3 +72,6 @@
 
     def fenced(self) -> None:
         """The worker obeys a higher fence."""
+
+    def failed(self) -> None:
+        """The link has ended by an unexpected error."""
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -1,5 +1,7 @@
 """One VM that accepts jobs of steps, and directs all of them while it is the owner."""
 
+from functools import partial
+
 import attrs
 import gevent
 
@@ -17,7 +19,7 @@
 from lacewingmill.jobs.table_follower import TableFollower
 from lacewingmill.lifecycle import ReadinessLog, StoppableVm, wait_until_quiet
 from lacewingmill.ports import Clock
-from lacewingmill.tasks import keep_running
+from lacewingmill.tasks import keep_running, spawn_guarded
 
 __all__ = ["JobVm"]
 
@@ -116,9 +118,10 @@
 
     def take(self, tenure: Tenure) -> None:
         """Begin to direct the jobs."""
-        director = Director(self._parts, tenure, self._elector.depose)
+        give_up = partial(self._elector.resign, tenure, "failed")
+        director = Director(self._parts, tenure, self._elector.depose, give_up)
         self.director = director
-        self._loops.append(gevent.spawn(self._direct, director))
+        self._loops.append(spawn_guarded(partial(self._direct, director), director.failed))
 
     def leave(self) -> None:
         """Direct the jobs no more."""
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -1,6 +1,5 @@
 """The owner's link to one worker: orders, lease extension, and what the worker lists."""
 
-import gevent
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
@@ -22,6 +21,7 @@
 from lacewingmill.jobs.settings import PlatformLimits
 from lacewingmill.jobs.units import Member, MemberState
 from lacewingmill.ports import Clock
+from lacewingmill.tasks import spawn_guarded
 
 __all__ = ["WorkerLink"]
 
@@ -87,7 +87,7 @@
         self._look = False
         self._heard_at = 0.0
         self._exits = False
-        self._loop = gevent.spawn(self._run)
+        self._loop = spawn_guarded(self._run, listener.failed)
 
     @property
     def worker(self) -> str:
--- a/src/lacewingmill/tasks.py
+++ b/src/lacewingmill/tasks.py
@@ -9,7 +9,7 @@
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.ports import Clock
 
-__all__ = ["keep_running", "log_failed_tasks", "place_of"]
+__all__ = ["keep_running", "log_failed_tasks", "place_of", "spawn_guarded"]
 
 # A loop that fails at once each time must leave the processor to the others.
 LOOP_RETRY_S = 0.5
@@ -50,3 +50,13 @@
                 LogEvent.LOOP_FAILED, loop=loop.__qualname__, error=repr(exc), where=place_of(exc)
             )
         clock.sleep(LOOP_RETRY_S)
+
+
+def spawn_guarded(run: Callable[[], None], failed: Callable[[], None]) -> gevent.Greenlet:
+    """Start a task on which others rely.
+
+    :param failed: called when it ends by an error, which the hub has logged.
+    """
+    task = gevent.spawn(run)
+    task.link_exception(lambda _: failed())
+    return task
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -10,7 +10,7 @@
 
 from lacewingmill.events import EventLog, configure_logging
 from lacewingmill.tasks import LOOP_RETRY_S, keep_running, log_failed_tasks
-from tests.platform_fleet import PlatformFleet, wait_for_owner
+from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
 
 
 @pytest.fixture
@@ -114,3 +114,33 @@
     fleet.clock.advance(6.0)
     assert "loop_failed" in [line["event"] for line in lines()]
     assert fleet.owner == other
+
+
+# Guards against an owner that keeps its lease and directs nothing, because a part of it has died.
+@pytest.mark.parametrize(
+    ("part", "name"),
+    [
+        (lambda director: director._planner, "plan"),
+        (lambda director: director.pool, "sweep"),
+        (lambda director: director.ledger, "_write"),
+        (lambda director: director.pool.find("i-0"), "_look_once"),
+    ],
+)
+def test_an_owner_that_fails_unexpectedly_gives_the_jobs_up_and_they_are_done(part, name, lines):
+    fleet = PlatformFleet(vms=2, executors=2)
+    wait_for_owner(fleet)
+    owner = fleet.vms[fleet.owner]
+    director = owner.director
+    fail_once(part(director), name)
+    jobs = [job_id(number) for number in range(6)]
+    handed_in = [
+        gevent.spawn(fleet.submit, "vm1", "patient", job, [step(count=2, gpu=4)]) for job in jobs
+    ]
+    fleet.clock.advance(15.0)
+    assert [answer.get(block=False) for answer in handed_in] == [200] * len(jobs)
+    assert owner.director is not director
+    assert [line["reason"] for line in lines() if line["event"] == "jobs_lost"] == ["failed"]
+    states = [gevent.spawn(fleet.state, "vm1", "patient", job) for job in jobs]
+    fleet.clock.advance(1.0)
+    assert [state.get(block=False) for state in states] == ["completed"] * len(jobs)
+    fleet.check_promises()
