A VM starts where no more threads may be started

What callers saw: a process that ends with code 1 at its start, "can't start new thread", where the limit of threads of its user is used up; under one user the threads of all processes count.

Cause: Resource.create of the OpenTelemetry SDK asks its detectors in a pool of threads, at each start, for attributes that nobody reads. The resource is now built from the two attributes that are ours, and no thread is started any more: one loop on one thread, as the house style has it.

Evidence: test_a_vm_starts_without_threads failed before, in build_job_vm, with that RuntimeError.

--- a/src/lacewingmill/adapters/metrics.py
+++ b/src/lacewingmill/adapters/metrics.py
@@ -24,7 +24,8 @@
     def __init__(self, vm: str):
         provider = MeterProvider(
             metric_readers=[PrometheusMetricReader()],
-            resource=Resource.create({"service.name": "lacewingmill", "service.instance.id": vm}),
+            # Resource.create would look for more attributes in threads.
+            resource=Resource({"service.name": "lacewingmill", "service.instance.id": vm}),
             shutdown_on_exit=False,
         )
         self._meter = provider.get_meter("lacewingmill")
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -303,3 +303,19 @@
     process.signal(signal.SIGTERM)
     assert process.end() == 0
     assert process.logged("vm_stopped") is (1 not in closed)
+
+
+NO_THREADS = """
+import _thread, threading
+def refuse(*args, **kwargs):
+    raise RuntimeError("can't start new thread")
+threading.Thread.start = refuse
+_thread.start_new_thread = refuse
+"""
+
+
+# Guards against a process that ends where its user may start no more threads.
+def test_a_vm_starts_without_threads(vm):
+    process = vm(prelude=NO_THREADS)
+    process.start()
+    process.wait(process.serving)
