A soak of disturbed starts: signals, settings half written, addresses taken

Why: the tests of the start fix the moment of each disturbance, and no test met two of them together.

bench.starts runs three VMs as the deploy file does, beside the emulated platform, and by a seed sends SIGHUP in series, cuts settings files short, holds ports, closes standard streams, and stops or kills and starts again. At the end all VMs must be ready, no process may have ended by itself, and jobs complete once. SIGHUP waits until the process takes it: what the interpreter needs before is the gap that is left.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint demo demo-platform up bench faults binary
+.PHONY: setup test lint demo demo-platform up bench faults starts binary
 
 setup: $(VENV)/ready
 
@@ -34,5 +34,8 @@
 faults: setup
 	$(BIN)/python -m bench.faults --seed $(or $(SEED),1) --rounds $(or $(ROUNDS),3)
 
+starts: setup
+	$(BIN)/python -m bench.starts --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1)
+
 binary: setup
 	$(BIN)/python -m bench.binary
--- a/bench/platform_demo.py
+++ b/bench/platform_demo.py
@@ -26,24 +26,29 @@
 READY_S = 20.0
 LONGEST_S = 60.0
 POLL_S = 0.2
+STOP_S = 10.0
 
 
 class Demo:
     """The emulated platform on loopback, and VMs beside it as processes of their own."""
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, base_port: int = BASE_PORT):
         clock = GeventClock()
         self._folder = folder
+        self._base_port = base_port
         self._caller = HttpCaller()
         self._store = KvStore(clock)
         self._book = RunBook()
         self._vms: list[subprocess.Popen] = []
+        self._services: list[HttpService] = []
         operator = Operator(self._store)
-        self._serve(BASE_PORT, self._answer_store)
+        self._serve(base_port, self._answer_store)
         for number in range(EXECUTORS):
             executor = self._executor(number, clock)
             operator.register(executor)
         operator.configure(configuration(1))
+        for number in range(VMS):
+            self.settings_path(number).write_text(self._settings(number))
 
     @property
     def book(self) -> RunBook:
@@ -53,26 +58,32 @@
     def start(self) -> None:
         """Start the VMs and wait until one directs the jobs."""
         for number in range(VMS):
-            path = self._folder / f"vm{number}.conf"
-            path.write_text(settings(number))
+            path = self.settings_path(number)
             command = [sys.executable, "-m", "lacewingmill", "serve-jobs", "--settings", str(path)]
-            with (self._folder / f"vm{number}.log").open("wb") as log:
+            with self.log_path(number).open("wb") as log:
                 self._vms.append(subprocess.Popen(command, stdout=log))
         with gevent.Timeout(READY_S):
             while not self._store.keys("lacewingmill/workers"):
                 gevent.sleep(POLL_S)
 
+    def adopt(self, vms: list[subprocess.Popen]) -> None:
+        """Take over VMs that were started elsewhere."""
+        self._vms = vms
+
     def stop(self) -> list[int]:
-        """Stop the VMs as planned and return their exit codes."""
+        """Stop the VMs as planned, then the platform, and return the VMs' exit codes."""
         for vm in self._vms:
             vm.terminate()
-        return [vm.wait(timeout=10) for vm in self._vms]
+        codes = [vm.wait(timeout=STOP_S) for vm in self._vms]
+        for service in self._services:
+            service.stop()
+        return codes
 
     def call(self, vm: int, method: str, path: str, body: dict | None = None) -> tuple[int, dict]:
         """Send one call of a caller."""
         try:
             reply = self._caller.call(
-                f"127.0.0.1:{front_port(vm)}",
+                f"127.0.0.1:{self.front_port(vm)}",
                 method,
                 path,
                 body=json.dumps(body or {}).encode(),
@@ -83,13 +94,35 @@
             return 0, {"error": exc.message}
         return reply.status, json.loads(reply.body)
 
+    def ask_ready(self, vm: int) -> int:
+        """Return what a VM answers the balancer.
+
+        :raises TransportError: when it does not answer.
+        """
+        address = f"127.0.0.1:{self.front_port(vm) + 1}"
+        return self._caller.call(address, "GET", "/ready", timeout_s=CALL_TIMEOUT_S).status
+
+    def settings_path(self, vm: int) -> Path:
+        """Return where the settings of a VM stand."""
+        return self._folder / f"vm{vm}.conf"
+
+    def log_path(self, vm: int) -> Path:
+        """Return where a VM's log lines go."""
+        return self._folder / f"vm{vm}.log"
+
+    def front_port(self, vm: int) -> int:
+        """Return the port of a VM for callers."""
+        return self._base_port + 100 + vm * PORTS_A_VM
+
     def submit(self, vm: int, queue: str, job_id: str, steps: list[dict], spec: str) -> int:
         """Hand a job in."""
         self._book.jobs[job_id] = JobFacts(steps)
         return self.call(vm, "POST", f"/{queue}/{job_id}", {"spec": spec, "steps": steps})[0]
 
     def _serve(self, port: int, handle) -> None:
-        HttpService(f"127.0.0.1:{port}", handle).start()
+        service = HttpService(f"127.0.0.1:{port}", handle)
+        service.start()
+        self._services.append(service)
 
     def _answer_store(self, req: HttpRequest) -> HttpAnswer:
         target = f"{req.path}?{req.query}" if req.query else req.path
@@ -97,7 +130,7 @@
         return HttpAnswer(status, json.dumps(body).encode())
 
     def _executor(self, number: int, clock: GeventClock) -> Executor:
-        port = BASE_PORT + 1 + number
+        port = self._base_port + 1 + number
         entry = {
             "service": SERVICE,
             "addr": f"127.0.0.1:{port}",
@@ -114,28 +147,22 @@
         self._serve(port, answer)
         return executor
 
-
-def front_port(vm: int) -> int:
-    """Return the port of a VM for callers."""
-    return BASE_PORT + 100 + vm * PORTS_A_VM
-
-
-def settings(vm: int) -> str:
-    """Return a settings file as the platform writes it."""
-    port = front_port(vm)
-    fields = {
-        "node": f"vm{vm}",
-        "zone": "z0",
-        "ip": "127.0.0.1",
-        "listen.front": f"127.0.0.1:{port}",
-        "listen.ready": f"127.0.0.1:{port + 1}",
-        "port_range": f"{port + 2},{port + 9}",
-        "bounds.grace_s": 6,
-        "bounds.max_hold_ms": 6000,
-        "bounds.status_s": 120,
-        "platform.addr": f"127.0.0.1:{BASE_PORT}",
-    }
-    return "".join(f"{name}={value}\n" for name, value in fields.items())
+    def _settings(self, vm: int) -> str:
+        """Return a settings file as the platform writes it."""
+        port = self.front_port(vm)
+        fields = {
+            "node": f"vm{vm}",
+            "zone": "z0",
+            "ip": "127.0.0.1",
+            "listen.front": f"127.0.0.1:{port}",
+            "listen.ready": f"127.0.0.1:{port + 1}",
+            "port_range": f"{port + 2},{port + 9}",
+            "bounds.grace_s": 6,
+            "bounds.max_hold_ms": 6000,
+            "bounds.status_s": 120,
+            "platform.addr": f"127.0.0.1:{self._base_port}",
+        }
+        return "".join(f"{name}={value}\n" for name, value in fields.items())
 
 
 def make_jobs() -> list[tuple[str, list[dict], str]]:
