A stopped VM leaves no connection open that nobody reads

What callers saw: a request on a connection kept open got no answer, "connection closed", when it came while a stopped VM's process was ending.

Cause: the stop closed the listeners, and the idle connections of callers stayed open until the process was gone. From the end of the loop to the end of the process, some 0.1 s and more on a busy machine, the kernel took requests that nobody read. Closing a service now also ends the connections on which no request has begun, and the stop waits for what was read just before.

Evidence: test_a_stopped_vm_leaves_no_connection_open_while_its_process_ends failed before.

Left: a request that crosses the closing on the wire, which only the caller's repetition can mend.

--- a/src/lacewingmill/adapters/http_server.py
+++ b/src/lacewingmill/adapters/http_server.py
@@ -1,11 +1,13 @@
 """HTTP service by gevent's WSGI server, with bounded bodies, headers and waiting."""
 
+import contextlib
 import socket
 from collections.abc import Callable, Mapping
 from http.client import HTTPException
 
 import attrs
 import gevent
+import gevent.socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from lacewingmill.exceptions import ListenFailed
@@ -89,7 +91,14 @@
 
 
 class _Handler(WSGIHandler):
-    """Bounds the time in which a request's head must arrive."""
+    """Bounds the time in which a request's head must arrive, and tells idle connections apart."""
+
+    def read_requestline(self):
+        self.server.idle.add(self.socket)
+        try:
+            return super().read_requestline()
+        finally:
+            self.server.idle.discard(self.socket)
 
     def read_request(self, raw_requestline):
         try:
@@ -101,7 +110,14 @@
 
 
 class _Server(WSGIServer):
-    """WSGI server with TCP_NODELAY on every connection."""
+    """WSGI server with TCP_NODELAY on every connection.
+
+    ``idle`` holds the sockets of open connections on which no request has begun.
+    """
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.idle: set[gevent.socket.socket] = set()
 
     def handle(self, sock, address):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -159,8 +175,14 @@
         self._draining = True
 
     def close(self) -> None:
-        """Stop accepting; requests in flight go on."""
+        """Stop accepting and end idle connections; requests in flight go on.
+
+        Clients must not find a connection open that nobody reads any more.
+        """
         self._server.close()
+        for sock in list(self._server.idle):
+            with contextlib.suppress(OSError):  # the client has closed it meanwhile
+                sock.shutdown(socket.SHUT_RD)
 
     def stop(self) -> None:
         """Stop accepting and cut what is still open."""
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -17,7 +17,7 @@
 from lacewingmill.jobs.roster import Roster
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.jobs.table_follower import TableFollower
-from lacewingmill.lifecycle import ReadinessLog, StoppableVm, wait_until_quiet
+from lacewingmill.lifecycle import CLOSED_QUIET_S, ReadinessLog, StoppableVm, wait_until_quiet
 from lacewingmill.ports import Clock
 from lacewingmill.tasks import keep_running, spawn_guarded
 
@@ -166,14 +166,16 @@
         self._front.drain()
         self._elector.hand_over()
         gevent.spawn(self._directory.leave)  # a store that is away must not delay the stop
+        latest = began + self._settings.limits.grace_s - EXIT_MARGIN_S
         wait_until_quiet(
             self._front,
             self._clock,
             QUIET_S,
             earliest=began + DRAIN_S,
-            latest=began + self._settings.limits.grace_s - EXIT_MARGIN_S,
+            latest=latest,
         )
         for service in (self._peers, self._metrics, self._ready, self._front):
             service.close()
+        wait_until_quiet(self._front, self._clock, CLOSED_QUIET_S, earliest=began, latest=latest)
         self._log.emit(LogEvent.VM_STOPPED)
         self._stopped.set()
--- a/src/lacewingmill/lifecycle.py
+++ b/src/lacewingmill/lifecycle.py
@@ -10,9 +10,11 @@
 from lacewingmill.exceptions import ListenFailed
 from lacewingmill.ports import Clock
 
-__all__ = ["ReadinessLog", "StoppableVm", "wait_until_quiet"]
+__all__ = ["CLOSED_QUIET_S", "ReadinessLog", "StoppableVm", "wait_until_quiet"]
 
 POLL_S = 0.05
+# Closed connections end in one turn of the loop; a request read just before needs its answer.
+CLOSED_QUIET_S = 0.05
 # The process before needs up to a few seconds to give its addresses back.
 LISTEN_RETRY_S = 0.2
 
--- a/src/lacewingmill/vm.py
+++ b/src/lacewingmill/vm.py
@@ -12,7 +12,7 @@
 from lacewingmill.cells.history import History
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import PeerError, StoreUnavailable, TransportError
-from lacewingmill.lifecycle import ReadinessLog, StoppableVm, wait_until_quiet
+from lacewingmill.lifecycle import CLOSED_QUIET_S, ReadinessLog, StoppableVm, wait_until_quiet
 from lacewingmill.membership.heartbeats import Heartbeats
 from lacewingmill.membership.messages import Heartbeat
 from lacewingmill.membership.view import FleetView
@@ -244,5 +244,12 @@
         )
         self._entry_service.close()
         self._control_service.close()
+        wait_until_quiet(
+            self._entry_service,
+            self._clock,
+            CLOSED_QUIET_S,
+            earliest=self._clock.now(),
+            latest=end,
+        )
         self._log.emit(LogEvent.VM_STOPPED)
         self._stopped.set()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from contextlib import closing
 from http.client import HTTPConnection, HTTPException
 from io import StringIO
 from pathlib import Path
@@ -180,6 +181,23 @@
     process.wait(process.serving)
 
 
+SLOW_EXIT = "import atexit, time\natexit.register(time.sleep, 600)\n"
+
+
+# Guards against a request cut at a planned stop: it came while the process ended and read no more.
+def test_a_stopped_vm_leaves_no_connection_open_while_its_process_ends(vm):
+    process = vm(prelude=SLOW_EXIT)
+    process.start()
+    process.wait(process.serving)
+    with closing(HTTPConnection("127.0.0.1", process.front)) as conn:
+        conn.request("GET", "/")
+        assert conn.getresponse().read()
+        process.signal(signal.SIGTERM)
+        process.wait(lambda: process.logged("vm_stopped"))
+        conn.sock.settimeout(WATCHDOG_S / 4)
+        assert conn.sock.recv(1) == b""
+
+
 def hang_up(moment):
     """Return a prelude that sends the process SIGHUP when it first does something."""
     return (
