A failed task for a unit or a worker ends the tenure, too

What callers saw: nothing so far. A start, a stop or a question to the advice service that met an error that nothing expects left its unit holding workers for ever, and its job unfinished.

Cause: these short tasks were started unguarded; only the loops told the director of their end. All of them are guarded now.

Evidence: the case of _start_member of test_an_owner_that_fails_unexpectedly_gives_the_jobs_up_and_they_are_done failed before.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -115,6 +115,7 @@
             self._end_job,
             self._open_units,
             self._queue,
+            self.failed,
         )
         self._takeover = Takeover(
             tenure.fence, clock, self.book, self._planner, self._runner, self._queue
@@ -268,7 +269,7 @@
         self._log.emit(
             LogEvent.STRAY_STOPPED, worker=link.worker, task=str(listed.task), run=listed.run
         )
-        gevent.spawn(link.stop_stray, listed.task, listed.run)
+        spawn_guarded(partial(link.stop_stray, listed.task, listed.run), self.failed)
 
     def _release_later(self, silent: list[WorkerLink], hold_back_s: float) -> None:
         """Queue what was held back once nothing of an earlier owner can run unseen."""
@@ -291,7 +292,7 @@
             return
         graph = self.book.graphs[unit.job_id]
         if graph.submission.advised:
-            gevent.spawn(self._queue_advised, graph, unit)
+            spawn_guarded(partial(self._queue_advised, graph, unit), self.failed)
         else:
             self._planner.queue(graph, unit)
 
--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -1,8 +1,8 @@
 """Starts units on their workers, follows their ends and gives the workers back."""
 
 from collections.abc import Callable
+from functools import partial
 
-import gevent
 from gevent.event import Event as Signal
 
 from lacewingmill.events import EventLog, LogEvent
@@ -26,6 +26,7 @@
     JobFinished,
     Placement,
 )
+from lacewingmill.tasks import spawn_guarded
 
 __all__ = ["UnitRunner"]
 
@@ -49,6 +50,7 @@
     :param ended: called with a job that reached a final state; returns when that is stored.
     :param advanced: called with a job whose next steps may begin.
     :param requeue: called with a unit whose workers are to be asked for anew.
+    :param failed: called when a task for a unit has ended by an unexpected error.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         ended: Callable[[JobGraph], Signal],
         advanced: Callable[[JobGraph], None],
         requeue: Callable[[Unit], None],
+        failed: Callable[[], None],
     ):
         self._first_run = (tenure.owner.term - 1) * RUNS_PER_TERM
         self._clock = clock
@@ -76,6 +79,7 @@
         self._ended = ended
         self._advanced = advanced
         self._requeue = requeue
+        self._failed = failed
         self._active: dict[str, ActiveUnit] = {}
         self._runs: dict[str, int] = {}
 
@@ -115,7 +119,8 @@
                 return
             link.expect(member)
         for member in members.values():
-            gevent.spawn(self._start_member, active, member, links[member.worker])
+            start = partial(self._start_member, active, member, links[member.worker])
+            spawn_guarded(start, self._failed)
 
     def evict(self, unit_id: str, for_unit: str) -> None:
         """Give the workers of a unit back to another one."""
@@ -294,7 +299,7 @@
         if member.state is MemberState.PLANNED or link is None:
             member.state = MemberState.GONE
         if not member.gone:
-            gevent.spawn(link.stop_run, member)
+            spawn_guarded(partial(link.stop_run, member), self._failed)
         elif link is not None:
             link.drop(member)
 
@@ -304,7 +309,7 @@
         if not active.all_gone or self._active.get(unit_id) is not active:
             return
         if active.closing is not Closing.FINISHED and self._clock.now() < active.hidden_until:
-            gevent.spawn(self._settle_later, active)
+            spawn_guarded(partial(self._settle_later, active), self._failed)
             return
         del self._active[unit_id]
         service = active.graph.submission.service
