--- a/bench/platform_demo.py
+++ b/bench/platform_demo.py
@@ -13,7 +13,14 @@
 from lacewingmill.adapters.http_client import HttpCaller
 from lacewingmill.adapters.http_server import HttpAnswer, HttpRequest, HttpService
 from lacewingmill.exceptions import TransportError
-from standins.platform import Executor, KvStore, Operator, RunBook, configuration
+from standins.platform import (
+    Executor,
+    KvStore,
+    Operator,
+    RunBook,
+    configuration,
+    write_settings,
+)
 from standins.platform.executors import JobFacts
 from standins.platform.operator import HOST, SERVICE
 
@@ -48,7 +55,9 @@
             operator.register(executor)
         operator.configure(configuration(1))
         for number in range(VMS):
-            self.settings_path(number).write_text(self._settings(number))
+            port = self.front_port(number)
+            text = write_settings(f"vm{number}", port, port + 1, port + 2, base_port)
+            self.settings_path(number).write_text(text)
 
     @property
     def book(self) -> RunBook:
@@ -147,23 +156,6 @@
         self._serve(port, answer)
         return executor
 
-    def _settings(self, vm: int) -> str:
-        """Return a settings file as the platform writes it."""
-        port = self.front_port(vm)
-        fields = {
-            "node": f"vm{vm}",
-            "zone": "z0",
-            "ip": "127.0.0.1",
-            "listen.front": f"127.0.0.1:{port}",
-            "listen.ready": f"127.0.0.1:{port + 1}",
-            "port_range": f"{port + 2},{port + 9}",
-            "bounds.grace_s": 6,
-            "bounds.max_hold_ms": 6000,
-            "bounds.status_s": 120,
-            "platform.addr": f"127.0.0.1:{self._base_port}",
-        }
-        return "".join(f"{name}={value}\n" for name, value in fields.items())
-
 
 def make_jobs() -> list[tuple[str, list[dict], str]]:
     """Return queue, steps and spec of each job."""
@@ -182,16 +174,22 @@
         demo = Demo(Path(folder))
         demo.start()
         print(f"{VMS} VMs, {EXECUTORS} workers, a store, on loopback")
-        accepted = {}
-        for number, (queue, steps, spec) in enumerate(make_jobs()):
-            job_id = f"{number:016x}"
-            if demo.submit(number % VMS, queue, job_id, steps, spec) == 200:
-                accepted[job_id] = queue
+        accepted = hand_in(demo)
         states = wait_for_ends(demo, accepted)
         codes = demo.stop()
     return report(demo.book, accepted, states, codes)
 
 
+def hand_in(demo: Demo) -> dict[str, str]:
+    """Hand all jobs in at the VMs in turn and return the queue of each accepted one."""
+    accepted = {}
+    for number, (queue, steps, spec) in enumerate(make_jobs()):
+        job_id = f"{number:016x}"
+        if demo.submit(number % VMS, queue, job_id, steps, spec) == 200:
+            accepted[job_id] = queue
+    return accepted
+
+
 def wait_for_ends(demo: Demo, accepted: dict[str, str]) -> dict[str, str]:
     """Ask for each job at any VM until all are over."""
     states: dict[str, str] = {}
--- a/bench/starts.py
+++ b/bench/starts.py
@@ -18,7 +18,7 @@
 import attrs
 import gevent
 
-from bench.platform_demo import VMS, Demo, make_jobs, report, wait_for_ends
+from bench.platform_demo import VMS, Demo, hand_in, report, wait_for_ends
 from lacewingmill.exceptions import TransportError
 
 __all__ = ["StartReport", "run_starts"]
@@ -29,6 +29,8 @@
 # A disturbance falls into a start, which takes up to about a second beside others.
 LONGEST_PAUSE_S = 1.2
 SIGNALS_IN_SERIES = 4
+# Share of the starts and stops that meet one more disturbance.
+DISTURBED_SHARE = 0.5
 READY_S = 30.0
 STOP_S = 10.0
 
@@ -94,7 +96,7 @@
 
     def _stop(self) -> None:
         self._signal(signal.SIGTERM)
-        if self._rng.random() < 0.5:
+        if self._rng.random() < DISTURBED_SHARE:
             self._signal(signal.SIGHUP)
         with gevent.Timeout(STOP_S):
             while self.process.poll() is None:
@@ -111,14 +113,17 @@
 
     def _start_disturbed(self) -> None:
         port = self._demo.front_port(self._number) + self._rng.randrange(4)
-        taken = self._taken(port) if self._rng.random() < 0.5 else contextlib.nullcontext()
-        half = self._half_written_settings if self._rng.random() < 0.5 else contextlib.nullcontext
-        with taken, half():
+        with contextlib.ExitStack() as disturbances:
+            if self._rng.random() < DISTURBED_SHARE:
+                disturbances.enter_context(self._taken(port))
+            if self._rng.random() < DISTURBED_SHARE:
+                disturbances.enter_context(self._half_written_settings())
             self._start()
             self._pause()
 
     @contextlib.contextmanager
     def _half_written_settings(self):
+        """Cut the settings file short, and write it whole a while later."""
         path = self._demo.settings_path(self._number)
         whole = path.read_text()
         path.write_text(whole[: self._rng.randrange(len(whole))])
@@ -128,6 +133,7 @@
 
     @contextlib.contextmanager
     def _taken(self, port: int):
+        """Hold a port of the VM, unless something else does."""
         with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
             yield
             return
@@ -138,16 +144,18 @@
 
     def _signal(self, number: signal.Signals) -> None:
         """Send a signal once the interpreter has come to the launcher, which takes SIGHUP."""
-        while self.process.poll() is None and not self._takes(signal.SIGHUP):
-            gevent.sleep(POLL_S)
+        self._await(signal.SIGHUP)
         self._check()
-        if number is signal.SIGTERM:
-            while self.process.poll() is None and not self._takes(number):
-                gevent.sleep(POLL_S)
+        self._await(number)
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(number)
         self._counts.signals += 1
 
+    def _await(self, number: signal.Signals) -> None:
+        """Wait until the process takes a signal or is gone."""
+        while self.process.poll() is None and not self._takes(number):
+            gevent.sleep(POLL_S)
+
     def _takes(self, number: signal.Signals) -> bool:
         """Whether the process ignores or handles a signal."""
         try:
@@ -182,11 +190,7 @@
         vms = [DisturbedVm(demo, n, random.Random(f"{seed} {n}"), counts) for n in range(VMS)]
         gevent.joinall([gevent.spawn(vm.run) for vm in vms], raise_error=True)
         counts.not_ready = await_ready(demo)
-        accepted = {}
-        for number, (queue, steps, spec) in enumerate(make_jobs()):
-            job_id = f"{number:016x}"
-            if demo.submit(number % VMS, queue, job_id, steps, spec) == 200:
-                accepted[job_id] = queue
+        accepted = hand_in(demo)
         states = wait_for_ends(demo, accepted)
         demo.adopt([vm.process for vm in vms])
         counts.promises_kept = report(demo.book, accepted, states, demo.stop()) == 0
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -9,5 +9,14 @@
 from standins.platform.kv import KvStore
 from standins.platform.network import EmulatedNetwork
 from standins.platform.operator import Operator, configuration
+from standins.platform.settings_file import write_settings
 
-__all__ = ["EmulatedNetwork", "Executor", "KvStore", "Operator", "RunBook", "configuration"]
+__all__ = [
+    "EmulatedNetwork",
+    "Executor",
+    "KvStore",
+    "Operator",
+    "RunBook",
+    "configuration",
+    "write_settings",
+]
--- /dev/null
+++ b/standins/platform/settings_file.py
@@ -0,0 +1,26 @@
+"""The settings file of a VM, as the platform writes it."""
+
+__all__ = ["write_settings"]
+
+HOST = "127.0.0.1"
+PORTS_BETWEEN_VMS = 8
+
+
+def write_settings(vm: str, front: int, ready: int, peers: int, store: int) -> str:
+    """Return the text of a settings file of a VM on loopback.
+
+    :param peers: first of the ports between VMs.
+    """
+    fields = {
+        "node": vm,
+        "zone": "z0",
+        "ip": HOST,
+        "listen.front": f"{HOST}:{front}",
+        "listen.ready": f"{HOST}:{ready}",
+        "port_range": f"{peers},{peers + PORTS_BETWEEN_VMS - 1}",
+        "bounds.grace_s": 6,
+        "bounds.max_hold_ms": 6000,
+        "bounds.status_s": 120,
+        "platform.addr": f"{HOST}:{store}",
+    }
+    return "".join(f"{name}={value}\n" for name, value in fields.items())
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -21,6 +21,7 @@
 from lacewingmill.events import EventLog, configure_logging
 from lacewingmill.exceptions import SettingsError
 from lacewingmill.serving import SETTINGS_WAIT_S, await_settings
+from standins.platform import write_settings
 
 ROOT = Path(__file__).parent.parent
 LAUNCH = ROOT / "deploy" / "launch.py"
@@ -55,19 +56,7 @@
         self.path.write_text(self.settings())
 
     def settings(self):
-        fields = {
-            "node": "vm0",
-            "zone": "z0",
-            "ip": "127.0.0.1",
-            "listen.front": f"127.0.0.1:{self.front}",
-            "listen.ready": f"127.0.0.1:{self.ready}",
-            "port_range": f"{self.peers},{self.peers + 9}",
-            "bounds.grace_s": 6,
-            "bounds.max_hold_ms": 6000,
-            "bounds.status_s": 120,
-            "platform.addr": f"127.0.0.1:{self.store}",
-        }
-        return "".join(f"{name}={value}\n" for name, value in fields.items())
+        return write_settings("vm0", self.front, self.ready, self.peers, self.store)
 
     def start(self, closed=()):
         """Start the process, with some of its standard streams closed."""
