Ends on a leaving worker are heard while earlier ones are being stored

What callers saw: work done twice, or lost, around executors that leave: a task that had ended done on a worker was started again elsewhere.

Cause: after each end the link waited up to 0.5 s for the store, without looking at its worker. An end that came in that time was never heard of when the worker was gone before the next look. For a worker that is leaving the wait is 0.05 s now; others wait as before, so that a slow store costs no more looks.

Evidence: test_an_end_on_a_leaving_worker_is_heard_while_an_earlier_one_is_being_stored failed before: of two tasks that ended 0.1 s apart during a slow write, the second ran again.

--- a/src/lacewingmill/jobs/end_acks.py
+++ b/src/lacewingmill/jobs/end_acks.py
@@ -9,9 +9,6 @@
 
 __all__ = ["EndAcks"]
 
-# How long a link waits for the store before it looks at its worker again.
-WAIT_S = 0.5
-
 
 @attrs.frozen
 class _Unstored:
@@ -54,11 +51,14 @@
         self.seen = number
         self._unstored.append(_Unstored(number, written))
 
-    def settle(self) -> None:
-        """Acknowledge what is stored, waiting a moment for what is being written."""
+    def settle(self, wait_s: float) -> None:
+        """Acknowledge what is stored.
+
+        :param wait_s: how long to wait for each of what is being written, in seconds.
+        """
         while self._unstored:
             oldest = self._unstored[0]
-            if not all(self._clock.wait(event, WAIT_S) for event in oldest.written):
+            if not all(self._clock.wait(event, wait_s) for event in oldest.written):
                 return
             self.acked = max(self.acked, oldest.number)
             self._unstored.popleft()
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -40,6 +40,10 @@
 START_TRIES = 4
 ORDERS_AT_ONCE = 3
 RETRY_S = 0.25
+# How long a link waits for the store to take ends before it looks at its worker again. One that is
+# leaving may be gone 0.1 s after its next end, and nobody hears of that end any more.
+STORED_S = 0.5
+LEAVING_STORED_S = 0.05
 # An idle worker's ends are acknowledged by the next start, or after this time.
 ACK_DELAY_S = 1.0
 FAILURES_UNTIL_SILENT = 2
@@ -301,7 +305,7 @@
             self._clock.sleep(RETRY_S)
         if fresh:
             self._acks.take(fresh[-1].number, pending)
-        self._acks.settle()
+        self._acks.settle(LEAVING_STORED_S if self.entry.leaving else STORED_S)
 
     def _find_missing(self, report: HoldReport, sent_at: float) -> None:
         """Find members that the worker should list and does not."""
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -3,7 +3,7 @@
 import json
 
 from standins.platform import configuration
-from tests.platform_fleet import job_id, step
+from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 
@@ -109,3 +109,29 @@
     fleet.clock.advance(5.0)
     for number in (2, 3):
         assert run(fleet, fleet.state, "vm0", "ordinary", job_id(number)) == "completed"
+
+
+# Guards against a task that ran twice: its end was listed while an earlier end was being stored.
+def test_an_end_on_a_leaving_worker_is_heard_while_an_earlier_one_is_being_stored():
+    fleet = PlatformFleet(vms=1, executors=1)
+    wait_for_owner(fleet)
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step(count=2)], "run_s=5", seconds=1.0)
+    worker = fleet.executors[0]
+    fleet.operator.register(worker, state="draining")
+    fleet.executors.append(fleet.add_executor(1))
+    fleet.clock.advance(2.0)
+    first, second = fleet.book.runs
+    first.run_s = fleet.clock.now() - first.works_from + 0.1
+    second.run_s = fleet.clock.now() - second.works_from + 0.2
+    fleet.kv.faults.slow_s = 0.6
+    for _ in range(8):
+        fleet.clock.advance(0.05)
+        worker.advance()
+    assert (first.how, second.how) == ("done", "done")
+    fleet.operator.unregister(worker)
+    del fleet.network.executors[worker.entry["addr"]]
+    fleet.clock.advance(1.0)
+    fleet.kv.faults.slow_s = 0.0
+    fleet.clock.advance(12.0)
+    assert len(fleet.book.runs) == 2
+    assert run(fleet, fleet.state, "vm0", "patient", job_id(1)) == "completed"
