--- a/src/lacewingmill/serving.py
+++ b/src/lacewingmill/serving.py
@@ -5,7 +5,9 @@
 import signal
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import gevent
 
@@ -19,6 +21,9 @@
 from lacewingmill.signals import ProcessSignals
 from lacewingmill.tasks import log_failed_tasks, place_of
 
+if TYPE_CHECKING:
+    from lacewingmill.jobs.vm import JobVm
+
 __all__ = ["await_settings", "serve", "serve_jobs"]
 
 # How long the last log lines may take to be read at the end of the process, in seconds.
@@ -59,35 +64,36 @@
     :raises SettingsError: when it cannot be used.
     """
     open_standard_streams()
-    signals = ProcessSignals()
-    from lacewingmill.job_composition import build_job_vm
+    signals = ProcessSignals()  # before the imports, which take most of the start
     from lacewingmill.platform import load_platform_settings
 
     writer = standard_output()
     configure_logging(writer)
     try:
         with _logged(path) as log:
+            _run_job_vm(partial(load_platform_settings, path), log, signals)
+    finally:
+        writer.close(LAST_LINES_S)
 
-            def load() -> JobVmSettings:
-                return load_platform_settings(path)
 
-            settings = await_settings(load, GeventClock(), log, signals)
-            if settings is None:
-                return
-            log_failed_tasks(EventLog(settings.vm))
-            vm = build_job_vm(settings)
+def _run_job_vm(load: Callable[[], JobVmSettings], log: EventLog, signals: ProcessSignals) -> None:
+    from lacewingmill.job_composition import build_job_vm
 
-            def reload() -> None:
-                try:
-                    vm.reload(load())
-                except SettingsError as exc:
-                    vm.reload_failed(exc.message)
+    settings = await_settings(load, GeventClock(), log, signals)
+    if settings is None:
+        return
+    log_failed_tasks(EventLog(settings.vm))
+    vm = build_job_vm(settings)
+    signals.connect(vm.begin_stop, partial(_reload, vm, load))
+    vm.start()
+    vm.wait()
 
-            signals.connect(vm.begin_stop, reload)
-            vm.start()
-            vm.wait()
-    finally:
-        writer.close(LAST_LINES_S)
+
+def _reload(vm: "JobVm", load: Callable[[], JobVmSettings]) -> None:
+    try:
+        vm.reload(load())
+    except SettingsError as exc:
+        vm.reload_failed(exc.message)
 
 
 def await_settings(
