A build changes nothing that is in use

Cause: the build removed target/deps and installed anew whenever requirements.txt was the newer file. The dependencies now have a folder of their own for each list of requirements (by content, not by time) and each Python, which gets its name when it is complete. The launcher puts that folder on the path, so nobody else needs to know it.

Failed try: two renames in the place of removing and installing.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -1,4 +1,4 @@
-"""Starts lacewingmill from a checkout whose dependencies are in ``target/deps``."""
+"""Starts lacewingmill from a checkout, with the dependencies that ``deploy/build.sh`` installed."""
 
 import signal
 import sys
@@ -6,7 +6,11 @@
 
 # By default SIGHUP ends a process whose own handler does not stand yet.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+
+from dependencies import ROOT, dependencies_folder  # noqa: E402
+
+sys.path[:0] = [str(ROOT / "src"), str(dependencies_folder())]
 
 from lacewingmill.cli import main  # noqa: E402
 
