A failed look at a leaving worker is repeated at once

What callers saw: work done twice around executors that leave: an end that was listed in the last 0.25 s of a worker was never heard of when the look before had failed, and the task was started again elsewhere.

Cause: after any failed look the link waited 0.25 s. The first retry at a worker that is leaving now comes after 0.05 s, within the 0.1 s for which the platform lets a worker keep an end; others wait as before, so workers that do not answer cost no more looks.

Evidence: test_an_end_on_a_leaving_worker_is_heard_though_a_look_has_failed failed before (the second task ran again).

--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -44,6 +44,8 @@
 # leaving may be gone 0.1 s after its next end, and nobody hears of that end any more.
 STORED_S = 0.5
 LEAVING_STORED_S = 0.05
+# The same bound for the first retry of a look at a worker that is leaving.
+LEAVING_RETRY_S = 0.05
 # An idle worker's ends are acknowledged by the next start, or after this time.
 ACK_DELAY_S = 1.0
 FAILURES_UNTIL_SILENT = 2
@@ -270,7 +272,8 @@
         except TransportError:
             self._fail()
             self._check_expiry()
-            self._clock.sleep(RETRY_S)
+            first = self._failures == 1
+            self._clock.sleep(LEAVING_RETRY_S if first and self.entry.leaving else RETRY_S)
             return
         if not self._stopped:
             self._acks.sent = acked
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -122,6 +122,7 @@
         self.fence = 0
         self.failing = False
         self.unwell = False
+        self.exited_at: float | None = None
         self.born = int(clock.wall() * 1000)
         self._clock = clock
         self._book = book
@@ -159,6 +160,15 @@
         self.__init__(self.name, self.entry, self._clock, self._book)
         self.born += 1
 
+    def exit(self) -> None:
+        """End for good with all that runs; calls that wait here are broken off."""
+        self.advance()
+        for run in self._running.values():
+            run.ended_at, run.how = self._clock.now(), "exited"
+        self._running.clear()
+        self.exited_at = self._clock.now()
+        self._wake()
+
     def handle(self, path: str, headers: dict, body: bytes) -> tuple[int, dict]:
         """Answer a call."""
         if headers.get("X-Expect-Instance", self.name) != self.name:
@@ -256,7 +266,7 @@
                 run.noted = run.ended_at >= self._lapsed_at
         self._ended = [row for row in self._ended if row[0] > req["acked_upto"]]
         ends_at = self._clock.now() + min(LONGEST_WAIT_S, req.get("wait_ms", 0) / 1000)
-        while not self._ended and self._clock.now() < ends_at:
+        while not self._ended and self._clock.now() < ends_at and self.exited_at is None:
             self._clock.wait(self._changed, min(ends_at, self._next_event()) - self._clock.now())
             self.advance()
         return 200, self._told(
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -33,6 +33,7 @@
         self.lost_answers: dict[str, int] = {}
         self.late_orders: dict[str, float] = {}
         self.lost_holds: dict[str, int] = {}
+        self.reset_holds: dict[str, int] = {}
         self.orders: dict[str, int] = {}
         self._store_address = store_address
 
@@ -107,7 +108,7 @@
             raise CallTimeout("no answer", step=path, peer=peer)
         if peer == network._store_address:
             return self._finish(network.store.handle(self._name, method, path, body), timeout_s)
-        if peer in network.executors:
+        if peer in network.executors and network.executors[peer].exited_at is None:
             return self._order(peer, path, headers or {}, body, timeout_s)
         if peer == network.advisor_address:
             return self._finish(network.advise(json.loads(body)), timeout_s)
@@ -128,6 +129,9 @@
             network.lost_holds[executor.name] -= 1
             network.clock.sleep(timeout_s)
             raise CallTimeout("hold lost", step=path, peer=peer)
+        if path == "/hold" and network.reset_holds.get(executor.name, 0):
+            network.reset_holds[executor.name] -= 1
+            raise TransportError("connection reset", step=path, peer=peer)
         if executor.name in network.lost_orders and path != "/hold":
             network.clock.sleep(timeout_s)
             raise CallTimeout("order lost", step=path, peer=peer)
@@ -137,6 +141,8 @@
             network.clock.sleep(timeout_s)
             raise CallTimeout("order late", step=path, peer=peer)
         answer = executor.handle(path, headers, body)
+        if executor.exited_at is not None:
+            raise TransportError("connection reset", step=path, peer=peer)
         if path != "/hold" and network.lost_answers.get(executor.name, 0):
             network.lost_answers[executor.name] -= 1
             network.clock.sleep(timeout_s)
--- /dev/null
+++ b/tests/test_platform_releases.py
@@ -0,0 +1,92 @@
+"""Workers that are replaced one after the other while owners die, by seed and on virtual time."""
+
+import random
+
+import gevent
+import pytest
+
+from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+
+SEEDS = range(6)
+WORKERS = 8
+RELEASE_EVERY_S = 1.0
+# The platform lets a worker that drains serve for two seconds at least, and at times much longer.
+DRAIN_S = (2.0, 8.0)
+# A worker keeps an end so long that its owner hears of it, where nothing else is disturbed.
+HEARD_S = 0.1
+CALM_S = 3.0
+RESTART_S = 3.0
+
+
+class Release:
+    """A fleet whose workers are replaced while jobs run and owners are killed."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.fleet = PlatformFleet(vms=4, executors=WORKERS)
+        self.clock = self.fleet.clock
+        self.killed_at = []
+
+    def play(self):
+        callers = gevent.spawn(self.hand_in)
+        gevent.spawn(self.kill_owners)
+        self.clock.advance(4.0)
+        for worker in self.fleet.executors[:WORKERS]:
+            gevent.spawn(self.replace, worker)
+            self.clock.advance(RELEASE_EVERY_S)
+        self.clock.advance(8.0)
+        callers.kill(block=False)
+        wait_for_owner(self.fleet, seconds=10.0)
+        self.clock.advance(60.0)
+
+    def hand_in(self):
+        for number in range(1, 1000):
+            self.clock.sleep(self.rng.uniform(0.1, 0.6))
+            gang = self.rng.random() < 0.4
+            steps = [step(count=self.rng.randint(1, 6), gpu=self.rng.choice([1, 2, 8]), gang=gang)]
+            if self.rng.random() < 0.3:
+                steps.append(step(count=2, after=[0]))
+            spec = f"run_s={self.rng.uniform(0.3, 6.0):.3f}"
+            queue = self.rng.choice(["urgent", "ordinary", "patient"])
+            vm = self.rng.choice(sorted(self.fleet.vms))
+            gevent.spawn(self.fleet.submit, vm, queue, job_id(number), steps, spec)
+
+    def kill_owners(self):
+        for _ in range(2):
+            self.clock.sleep(self.rng.uniform(2.0, 9.0))
+            vm = self.fleet.owner
+            if vm is None:
+                continue
+            self.killed_at.append(self.clock.now())
+            self.fleet.kill(vm)
+            self.clock.sleep(RESTART_S)
+            self.fleet.start_vm(vm)
+
+    def replace(self, worker):
+        added = self.fleet.add_executor(len(self.fleet.executors))
+        self.fleet.executors.append(added)
+        self.fleet.operator.register(worker, state="draining")
+        self.clock.sleep(self.rng.uniform(*DRAIN_S))
+        worker.exit()
+        self.fleet.operator.unregister(worker)
+
+    def unheard(self):
+        """Return tasks that ran again though their worker had kept the end long enough."""
+        exits = {worker.name: worker.exited_at for worker in self.fleet.executors}
+        done = {}
+        for run in self.fleet.book.runs:
+            gone_at = exits[run.executor]
+            if run.how != "done" or gone_at is None or gone_at - run.ended_at < HEARD_S:
+                continue
+            if all(not -CALM_S < run.ended_at - at < CALM_S for at in self.killed_at):
+                done.setdefault(run.task, run.ended_at)
+        runs = self.fleet.book.runs
+        return [run.task for run in runs if run.started_at > done.get(run.task, float("inf"))]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_ends_on_workers_that_are_replaced_are_heard(seed):
+    release = Release(seed)
+    release.play()
+    assert release.unheard() == []
+    release.fleet.check_promises()
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -111,27 +111,49 @@
         assert run(fleet, fleet.state, "vm0", "ordinary", job_id(number)) == "completed"
 
 
-# Guards against a task that ran twice: its end was listed while an earlier end was being stored.
-def test_an_end_on_a_leaving_worker_is_heard_while_an_earlier_one_is_being_stored():
+def ends_on_a_leaving_worker(delays_s):
+    """Return a fleet whose first worker is leaving, and its runs, which end after such times."""
     fleet = PlatformFleet(vms=1, executors=1)
     wait_for_owner(fleet)
-    run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step(count=2)], "run_s=5", seconds=1.0)
-    worker = fleet.executors[0]
-    fleet.operator.register(worker, state="draining")
+    steps = [step(count=len(delays_s))]
+    run(fleet, fleet.submit, "vm0", "patient", job_id(1), steps, "run_s=5", seconds=1.0)
+    fleet.operator.register(fleet.executors[0], state="draining")
     fleet.executors.append(fleet.add_executor(1))
     fleet.clock.advance(2.0)
-    first, second = fleet.book.runs
-    first.run_s = fleet.clock.now() - first.works_from + 0.1
-    second.run_s = fleet.clock.now() - second.works_from + 0.2
-    fleet.kv.faults.slow_s = 0.6
-    for _ in range(8):
+    for ending, delay_s in zip(fleet.book.runs, delays_s, strict=True):
+        ending.run_s = fleet.clock.now() - ending.works_from + delay_s
+    return fleet, list(fleet.book.runs)
+
+
+def leave_after(fleet, seconds):
+    """Let the first worker exit."""
+    worker = fleet.executors[0]
+    for _ in range(round(seconds / 0.05)):
         fleet.clock.advance(0.05)
         worker.advance()
-    assert (first.how, second.how) == ("done", "done")
+    worker.exit()
     fleet.operator.unregister(worker)
-    del fleet.network.executors[worker.entry["addr"]]
     fleet.clock.advance(1.0)
+
+
+# Guards against a task that ran twice: its end was listed while an earlier end was being stored.
+def test_an_end_on_a_leaving_worker_is_heard_while_an_earlier_one_is_being_stored():
+    fleet, ending = ends_on_a_leaving_worker((0.1, 0.2))
+    fleet.kv.faults.slow_s = 0.6
+    leave_after(fleet, 0.4)
+    assert [each.how for each in ending] == ["done", "done"]
     fleet.kv.faults.slow_s = 0.0
     fleet.clock.advance(12.0)
     assert len(fleet.book.runs) == 2
     assert run(fleet, fleet.state, "vm0", "patient", job_id(1)) == "completed"
+
+
+# Guards against a task that ran twice: its end was listed just after a look at its worker failed.
+def test_an_end_on_a_leaving_worker_is_heard_though_a_look_has_failed():
+    fleet, ending = ends_on_a_leaving_worker((0.1, 0.2))
+    fleet.network.reset_holds[fleet.executors[0].name] = 1
+    leave_after(fleet, 0.3)
+    assert [each.how for each in ending] == ["done", "done"]
+    fleet.clock.advance(12.0)
+    assert len(fleet.book.runs) == 2
+    assert run(fleet, fleet.state, "vm0", "patient", job_id(1)) == "completed"
