--- a/tests/test_platform_releases.py
+++ b/tests/test_platform_releases.py
@@ -10,10 +10,10 @@
 SEEDS = range(6)
 WORKERS = 8
 RELEASE_EVERY_S = 1.0
-# The platform lets a worker that drains serve for two seconds at least, and at times much longer.
-DRAIN_S = (2.0, 8.0)
-# A worker keeps an end so long that its owner hears of it, where nothing else is disturbed.
-HEARD_S = 0.1
+# The platform lets a worker that drains serve for two seconds at least.
+DRAIN_S = 2.0
+# A worker that exits has kept its last end so long, in which its owner must hear of it.
+KEPT_S = (0.1, 0.4)
 CALM_S = 3.0
 RESTART_S = 3.0
 
@@ -66,17 +66,26 @@
         added = self.fleet.add_executor(len(self.fleet.executors))
         self.fleet.executors.append(added)
         self.fleet.operator.register(worker, state="draining")
-        self.clock.sleep(self.rng.uniform(*DRAIN_S))
+        self.clock.sleep(DRAIN_S)
+        self.clock.sleep(self.until_next_end(worker) + self.rng.uniform(*KEPT_S))
         worker.exit()
         self.fleet.operator.unregister(worker)
 
+    def until_next_end(self, worker):
+        ends_at = [
+            run.works_from + run.run_s
+            for run in self.fleet.book.runs
+            if run.executor == worker.name and run.ended_at is None and run.works_from is not None
+        ]
+        return max(0.0, min(ends_at, default=0.0) - self.clock.now())
+
     def unheard(self):
         """Return tasks that ran again though their worker had kept the end long enough."""
         exits = {worker.name: worker.exited_at for worker in self.fleet.executors}
         done = {}
         for run in self.fleet.book.runs:
             gone_at = exits[run.executor]
-            if run.how != "done" or gone_at is None or gone_at - run.ended_at < HEARD_S:
+            if run.how != "done" or gone_at is None or gone_at - run.ended_at < KEPT_S[0]:
                 continue
             if all(not -CALM_S < run.ended_at - at < CALM_S for at in self.killed_at):
                 done.setdefault(run.task, run.ended_at)
