Settings that change without a signal are taken in

What callers saw: nothing; found while the starts were looked at again. The platform may rewrite the settings file without SIGHUP, and a VM that was running kept the old grace time, longest lease and keeping time.

Cause: the file was read at the start and on SIGHUP only. A VM now looks at it every two seconds and takes a change in once, whether the signal comes or not; a change that cannot be used is logged and the settings in force stay. The file's content is compared, not its time, since two writes may carry the same time.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -19,7 +19,7 @@
     VM_STOPPED = (102, "info", "The entry VM stopped with nothing in flight.")
     NOT_READY = (103, "warning", "The VM turned not ready; the reason is given.")
     READY = (104, "info", "The VM turned ready.")
-    SETTINGS_RELOADED = (106, "info", "The settings were read anew after SIGHUP; what changed.")
+    SETTINGS_RELOADED = (106, "info", "Changed settings were read anew; what changed for this VM.")
     SETTINGS_UNUSABLE = (107, "error", "Changed settings cannot be used; the old ones stay.")
     LINES_DROPPED = (105, "warning", "Lines of events that came too often were dropped; counted.")
     PROCESS_BEGINS = (108, "info", "The process begins to start; nothing is accepted yet.")
--- a/src/lacewingmill/serving.py
+++ b/src/lacewingmill/serving.py
@@ -5,9 +5,7 @@
 import signal
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 import gevent
 
@@ -18,11 +16,9 @@
 from lacewingmill.exceptions import SettingsError
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.ports import Clock
+from lacewingmill.settings_file import SettingsFile, SettingsFollower
 from lacewingmill.signals import ProcessSignals
-from lacewingmill.tasks import log_failed_tasks, place_of
-
-if TYPE_CHECKING:
-    from lacewingmill.jobs.vm import JobVm
+from lacewingmill.tasks import keep_running, log_failed_tasks, place_of
 
 __all__ = ["await_settings", "serve", "serve_jobs"]
 
@@ -71,31 +67,28 @@
     configure_logging(writer)
     try:
         with _logged(path) as log:
-            _run_job_vm(partial(load_platform_settings, path), log, signals)
+            _run_job_vm(SettingsFile(path, load_platform_settings), log, signals)
     finally:
         writer.close(LAST_LINES_S)
 
 
-def _run_job_vm(load: Callable[[], JobVmSettings], log: EventLog, signals: ProcessSignals) -> None:
+def _run_job_vm(file: SettingsFile, log: EventLog, signals: ProcessSignals) -> None:
     from lacewingmill.job_composition import build_job_vm
 
-    settings = await_settings(load, GeventClock(), log, signals)
+    clock = GeventClock()
+    settings = await_settings(file.load, clock, log, signals)
     if settings is None:
         return
-    log_failed_tasks(EventLog(settings.vm))
+    vm_log = EventLog(settings.vm)
+    log_failed_tasks(vm_log)
     vm = build_job_vm(settings)
-    signals.connect(vm.begin_stop, partial(_reload, vm, load))
+    follower = SettingsFollower(file, clock, vm.reload, vm.reload_failed)
+    signals.connect(vm.begin_stop, follower.reload)
     vm.start()
+    gevent.spawn(keep_running, follower.run, clock, vm_log)
     vm.wait()
 
 
-def _reload(vm: "JobVm", load: Callable[[], JobVmSettings]) -> None:
-    try:
-        vm.reload(load())
-    except SettingsError as exc:
-        vm.reload_failed(exc.message)
-
-
 def await_settings(
     load: Callable[[], JobVmSettings], clock: Clock, log: EventLog, signals: ProcessSignals
 ) -> JobVmSettings | None:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -21,6 +21,7 @@
 from lacewingmill.events import EventLog, configure_logging
 from lacewingmill.exceptions import SettingsError
 from lacewingmill.serving import SETTINGS_WAIT_S, await_settings
+from lacewingmill.settings_file import LOOK_S, SettingsFile, SettingsFollower
 from standins.platform import write_settings
 
 ROOT = Path(__file__).parent.parent
@@ -219,6 +220,37 @@
     process.wait(process.serving)
 
 
+# Guards against settings that stay old because the platform changed them without a signal.
+def test_settings_that_change_without_a_signal_are_taken_in_once():
+    clock, taken, faults = VirtualClock(), [], []
+    path = SimpleNamespace(content=b"first")
+    path.read_bytes = lambda: path.content
+
+    def parse(path):
+        if not path.content:
+            raise SettingsError("field ip is missing", step="settings")
+        return path.content
+
+    file = SettingsFile(path, parse)
+    file.load()
+    following = gevent.spawn(SettingsFollower(file, clock, taken.append, faults.append).run)
+    try:
+        for path.content in (b"first", b"second", b"", b"third"):
+            clock.advance(2 * LOOK_S)
+    finally:
+        following.kill()
+    assert taken == [b"second", b"third"]
+    assert faults == ["field ip is missing"]
+
+
+def test_a_vm_whose_settings_file_changes_says_so_without_a_signal(vm):
+    process = vm()
+    process.start()
+    process.wait(process.serving)
+    process.path.write_text(process.settings().replace("grace_s=6", "grace_s=5"))
+    process.wait(lambda: process.logged("settings_reloaded"))
+
+
 # Guards against a process that ends because its settings file is still being written.
 @pytest.mark.parametrize("unfinished", ["", "node=vm0\nip=127.0.0.1\nlisten.fr", None])
 def test_a_vm_waits_for_settings_that_are_being_written(vm, unfinished):
