A new owner waits for no worker that no machine runs any more

Cause: a worker that the store does not list may have lapsed there and run on, so the new owner waited until all leases of the earlier owner had lapsed. The platform's list of machines tells the two apart: it names a worker for as long as a machine runs it. A silent worker that neither the store nor the list names has ended. The list is read at a takeover with such workers, then once a second while they matter; without it, or when it names no worker that answers, the leases decide as before.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -90,6 +90,12 @@
     WORKER_SILENT = (430, "warning", "A worker does not answer or is not well; it gets no work.")
     WORKER_UNLISTED = (431, "warning", "A worker is not in the store any more.")
     WORKER_UNREADABLE = (432, "warning", "An entry of a worker cannot be read; it is passed over.")
+    WORKER_ENDED = (433, "info", "No machine runs a silent worker any more; nothing runs there.")
+    MACHINES_UNKNOWN = (
+        434,
+        "warning",
+        "The machines' workers are not known; silent ones may run until their leases lapse.",
+    )
     GUARANTEE_SHORTFALL = (340, "error", "A guaranteed shape cannot be reclaimed now.")
 
     def __init__(self, number: int, level: str, meaning: str):
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -21,12 +21,14 @@
 from lacewingmill.jobs.ports import (
     Advisor,
     HoldReport,
+    MachineList,
     RunListed,
     TransactionStore,
     WorkerEntry,
     WorkerOrders,
 )
 from lacewingmill.jobs.settings import PlatformLimits
+from lacewingmill.jobs.silent_workers import SilentWorkers
 from lacewingmill.jobs.takeover import Takeover
 from lacewingmill.jobs.unit_planner import UnitPlanner
 from lacewingmill.jobs.unit_runner import UnitRunner
@@ -61,6 +63,7 @@
     store: TransactionStore
     orders: WorkerOrders
     advisor: Advisor | None
+    machines: MachineList | None
     clock: Clock
     log: EventLog
     meters: Meters
@@ -103,6 +106,7 @@
         self._advice = AdviceBook(parts.advisor, clock, log)
         self._planner = UnitPlanner(clock, parts.table, self._act)
         self.pool = WorkerPool(parts.orders, self.ledger, self._planner, log, self._connect)
+        self._silent = SilentWorkers(parts.machines, self.pool.answering, clock, log)
         self._runner = UnitRunner(
             tenure,
             clock,
@@ -156,7 +160,7 @@
         end = self._clock.now() + CONTACT_S
         while self._clock.now() < end and self.pool.unanswered():
             self._clock.sleep(CONTACT_POLL_S)
-        silent = self.pool.unanswered() if hold_back_s else []
+        silent = self._silent.remaining(self.pool.unanswered()) if hold_back_s else []
         self.pool.keep(silent)
         self._takeover.adopt(self._clock.now() + hold_back_s if silent else 0.0)
         self.open = True
@@ -274,8 +278,9 @@
     def _release_later(self, silent: list[WorkerLink], hold_back_s: float) -> None:
         """Queue what was held back once nothing of an earlier owner can run unseen."""
         end = self._clock.now() + hold_back_s
-        while self._clock.now() < end and not all(link.opened for link in silent):
+        while silent and self._clock.now() < end:
             self._clock.sleep(TICK_S)
+            silent = self._silent.remaining(silent)
         self.pool.keep([])
         for unit in self._takeover.release():
             self._queue(unit)
--- a/src/lacewingmill/jobs/ports.py
+++ b/src/lacewingmill/jobs/ports.py
@@ -16,6 +16,7 @@
     "HoldReport",
     "ItemRevision",
     "Lease",
+    "MachineList",
     "Put",
     "Record",
     "RunEnd",
@@ -272,6 +273,16 @@
         """
 
 
+class MachineList(Protocol):
+    """Knows which workers the platform's machines run."""
+
+    def workers(self, *, timeout_s: float) -> frozenset[str]:
+        """Return the ids of all workers that a machine runs, listed in the store or not.
+
+        :raises TransportError: when the list was not read whole.
+        """
+
+
 class StartOutcome(enum.Enum):
     """What a worker made of a start."""
 
--- a/src/lacewingmill/jobs/settings.py
+++ b/src/lacewingmill/jobs/settings.py
@@ -29,6 +29,7 @@
     :param metrics: ``host:port`` of the metrics.
     :param store: ``host:port`` of the store.
     :param advice: ``host:port`` of the advice service; empty where there is none.
+    :param machines: ``host:port`` of the list of machines; empty where there is none.
     """
 
     vm: str
@@ -40,3 +41,4 @@
     store: str
     limits: PlatformLimits
     advice: str = ""
+    machines: str = ""
--- a/src/lacewingmill/jobs/worker_pool.py
+++ b/src/lacewingmill/jobs/worker_pool.py
@@ -61,6 +61,10 @@
         """Return the links whose worker has not answered this owner."""
         return [link for link in self._links.values() if not link.opened]
 
+    def answering(self) -> frozenset[str]:
+        """Return the workers that have answered this owner."""
+        return frozenset(link.worker for link in self if link.opened)
+
     def stop(self) -> None:
         """Talk to no worker any more."""
         for link in self._links.values():
--- a/src/lacewingmill/platform/__init__.py
+++ b/src/lacewingmill/platform/__init__.py
@@ -8,6 +8,7 @@
 from lacewingmill.platform.advice import HttpAdvisor
 from lacewingmill.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from lacewingmill.platform.front import FrontHandler, ReadyHandler
+from lacewingmill.platform.machines import HttpMachineList
 from lacewingmill.platform.orders import HttpWorkerOrders
 from lacewingmill.platform.settings import load_platform_settings
 from lacewingmill.platform.store import HttpTransactionStore
@@ -17,6 +18,7 @@
     "CONFIGURATION_KEY",
     "FrontHandler",
     "HttpAdvisor",
+    "HttpMachineList",
     "HttpTransactionStore",
     "HttpWorkerOrders",
     "ReadyHandler",
--- a/src/lacewingmill/platform/settings.py
+++ b/src/lacewingmill/platform/settings.py
@@ -35,7 +35,8 @@
         peers=f"{host}:{peer_port}",
         metrics=f"{host}:{peer_port + 1}",
         store=fields.address("platform.addr"),
-        advice=fields.address("advice") if fields.optional("advice") else "",
+        advice=fields.optional_address("advice"),
+        machines=fields.optional_address("cloud.addr"),
         limits=PlatformLimits(
             # grace_s: from SIGTERM to SIGKILL.
             grace_s=fields.number("bounds.grace_s"),
@@ -70,9 +71,9 @@
             raise SettingsError(f"field {name} is missing", step="settings")
         return value
 
-    def optional(self, name: str) -> str:
-        """Return a field that may be missing or empty."""
-        return self._fields.get(name, "")
+    def optional_address(self, name: str) -> str:
+        """Return a field of the form ``host:port`` that may be missing or empty."""
+        return self.address(name) if self._fields.get(name) else ""
 
     def address(self, name: str) -> str:
         """Return a field of the form ``host:port``."""
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -28,6 +28,8 @@
         self.cut: set[tuple[str, str]] = set()
         self.lost_orders: set[str] = set()
         self.advisor_address = ""
+        self.machines_address = ""
+        self.machines_away = False
         self.book = None
         self.advice_s = 0.05
         self.lost_answers: dict[str, int] = {}
@@ -53,6 +55,16 @@
         rows = [[name, f"ticket {job} {name}"] for name in body["workers"] if name in good]
         return 200, {"good": rows, "valid_ms": 3000}
 
+    def list_machines(self, path: str) -> tuple[int, dict] | None:
+        """Answer with one machine a page; ``None`` while the service is away."""
+        if self.machines_away:
+            return None
+        ids = [each.name for each in self.executors.values() if each.exited_at is None]
+        at = int(path.partition("page_token=")[2] or 0)
+        rows = [{"machine": f"m-{name}", "state": "up", "id": name} for name in ids[at : at + 1]]
+        following = str(at + 1) if at + 1 < len(ids) else None
+        return 200, {"machines": rows, "next_token": following}
+
     def reachable(self, name: str, address: str) -> bool:
         """Whether a VM's packets reach an address."""
         return (name, address) not in self.cut and (name, "*") not in self.cut
@@ -112,6 +124,8 @@
             return self._order(peer, path, headers or {}, body, timeout_s)
         if peer == network.advisor_address:
             return self._finish(network.advise(json.loads(body)), timeout_s)
+        if peer == network.machines_address:
+            return self._finish(network.list_machines(path), timeout_s)
         service = network.services.get(peer)
         if service is None:
             raise ConnectFailed("refused", step="connect", peer=peer)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -11,6 +11,7 @@
 
 STORE = "10.9.0.1:1"
 ADVISOR = "10.9.0.2:1"
+MACHINES = "10.9.0.3:1"
 LIMITS = PlatformLimits(grace_s=6.0, longest_hold_s=6.0, kept_s=120.0)
 
 
@@ -24,6 +25,7 @@
         self.operator = Operator(self.kv)
         self.book = RunBook()
         self.network.advisor_address = ADVISOR
+        self.network.machines_address = MACHINES
         self.network.book = self.book
         self.executors = [self.add_executor(number) for number in range(executors)]
         self.config = configuration(1)
@@ -61,6 +63,7 @@
             STORE,
             LIMITS,
             ADVISOR,
+            MACHINES,
         )
         vm = build_job_vm(
             settings, Outside(self.clock, caller, self.network.service, random.Random(name))
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -20,6 +20,7 @@
 from lacewingmill.jobs.model import Queue, TaskId
 from lacewingmill.jobs.ports import HoldOrder, Record
 from lacewingmill.platform import (
+    HttpMachineList,
     HttpTransactionStore,
     HttpWorkerOrders,
     decode_configuration,
@@ -35,7 +36,7 @@
     r"acked_upto|kv-(key|range|watch|txn|lease|keep)|run-(start|stop)|op/config|servers/"
     r"|X-Expect-Instance|X-Deadline-Ms|deadline_ms|mem_mb|max_per_server|long_running"
     r"|admission_check|api_keys|slo_ms|est_runtime_ms|data_rack\b.*ms|wait_ms|ttl_ms|clock_ms"
-    r"|expect_rev|cold_left_ms|machine-(move|upkeep)|guaranteed\.gpu",
+    r"|next_token|page_token|expect_rev|cold_left_ms|machine-(move|upkeep)|guaranteed\.gpu",
 )
 QUEUE = Queue("q", "h", "/q/", "svc", 0, 2, 1.5, 0.25)
 JSON = st.recursive(
@@ -153,6 +154,21 @@
     assert status == 200 and report.clock_s is not None
 
 
+MACHINES = {"machines": [{"id": "i-1", "state": "up"}, {"id": None}, {}], "next_token": None}
+
+
+@EXAMPLES
+@given(st.binary(max_size=40) | damaged(MACHINES), st.sampled_from([200, 429, 503]))
+def test_the_list_of_machines_is_read_whole_or_not_at_all(body, status):
+    machines = HttpMachineList("10.0.0.1:1", Answering(status, body))
+    try:
+        workers = machines.workers(timeout_s=1.0)
+    except TransportError as exc:
+        assert exc.message
+        return
+    assert status == 200 and all(isinstance(worker, str) for worker in workers)
+
+
 @EXAMPLES
 @given(st.binary(max_size=40) | JSON.map(lambda v: json.dumps(v).encode()))
 def test_an_answer_of_the_store_is_decoded_or_counts_as_none(body):
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -73,6 +73,53 @@
     fleet.check_promises()
 
 
+def lose_owner_beside_a_leaving_worker(fleet):
+    """Return a worker that drains with a run on it when the owner dies; one worker is idle."""
+    steps = [step(count=3, gpu=8)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=9", seconds=1.0)
+    name = fleet.book.runs[0].executor
+    worker = next(each for each in fleet.executors if each.name == name)
+    fleet.operator.register(worker, state="draining")
+    fleet.clock.advance(2.0)
+    fleet.kill(fleet.owner)
+    return worker
+
+
+def begun_again(fleet):
+    """Return when the job's first task began again, in seconds after the takeover."""
+    wait_for_owner(fleet)
+    taken_at = fleet.clock.now()
+    fleet.clock.advance(30.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_promises()
+    [again] = [each for each in fleet.book.runs if each.number > 1]
+    return again.started_at - taken_at
+
+
+# Guards against jobs that stand still for nine seconds after a takeover beside leaving workers.
+def test_a_new_owner_does_not_wait_for_a_worker_that_left_meanwhile(fleet):
+    worker = lose_owner_beside_a_leaving_worker(fleet)
+    worker.exit()
+    fleet.operator.unregister(worker)
+    assert begun_again(fleet) < 2.0
+
+
+def test_a_new_owner_waits_for_an_unlisted_worker_that_a_machine_still_runs(fleet):
+    worker = lose_owner_beside_a_leaving_worker(fleet)
+    fleet.network.cut = {(vm, worker.entry["addr"]) for vm in fleet.callers}
+    fleet.operator.unregister(worker)
+    assert begun_again(fleet) > 5.0
+
+
+def test_a_new_owner_waits_for_a_worker_that_left_while_machines_are_not_known(fleet, capsys):
+    fleet.network.machines_away = True
+    worker = lose_owner_beside_a_leaving_worker(fleet)
+    worker.exit()
+    fleet.operator.unregister(worker)
+    assert begun_again(fleet) > 5.0
+    assert "machines_unknown" in capsys.readouterr().out
+
+
 def test_a_first_look_without_an_answer_holds_nothing_back(fleet):
     """A new owner asks a worker again before it counts it as one that may run things unseen."""
     steps = [step(count=2), step(count=2, after=[0])]
