--- a/src/lacewingmill/platform/advice.py
+++ b/src/lacewingmill/platform/advice.py
@@ -7,6 +7,7 @@
 from lacewingmill.exceptions import TransportError
 from lacewingmill.jobs.model import TaskId
 from lacewingmill.jobs.ports import Advice
+from lacewingmill.platform.answers import decode_answer
 
 __all__ = ["HttpAdvisor"]
 
@@ -44,10 +45,5 @@
         )
         if reply.status != 200:
             raise TransportError(f"answered {reply.status}", step="advise", peer=self._address)
-        try:
-            answer = msgspec.json.decode(reply.body, type=_Good)
-        except msgspec.DecodeError as exc:
-            raise TransportError(
-                f"answer cannot be read: {exc}", step="advise", peer=self._address
-            ) from exc
+        answer = decode_answer(reply, _Good, step="advise", peer=self._address)
         return Advice(dict(answer.good), answer.valid_ms / 1000)
--- a/src/lacewingmill/platform/machines.py
+++ b/src/lacewingmill/platform/machines.py
@@ -3,10 +3,10 @@
 from urllib.parse import urlencode
 
 import attrs
-import msgspec
 
 from lacewingmill.adapters.http_client import HttpCaller
 from lacewingmill.exceptions import TransportError
+from lacewingmill.platform.answers import decode_answer
 
 __all__ = ["HttpMachineList"]
 
@@ -55,9 +55,4 @@
         reply = self._caller.call(self._address, "GET", path, timeout_s=timeout_s)
         if reply.status != 200:
             raise TransportError(f"answered {reply.status}", step="machines", peer=self._address)
-        try:
-            return msgspec.json.decode(reply.body, type=_Page)
-        except msgspec.DecodeError as exc:
-            raise TransportError(
-                f"answer cannot be read: {exc}", step="machines", peer=self._address
-            ) from exc
+        return decode_answer(reply, _Page, step="machines", peer=self._address)
--- a/src/lacewingmill/platform/orders.py
+++ b/src/lacewingmill/platform/orders.py
@@ -19,6 +19,7 @@
     StartOutcome,
     WorkerEntry,
 )
+from lacewingmill.platform.answers import decode_answer
 
 __all__ = ["HttpWorkerOrders", "format_task", "parse_task"]
 
@@ -69,7 +70,11 @@
         if order.ticket:
             body["ticket"] = order.ticket
         reply = self._call(entry, "/run-start", body, timeout_s)
-        answer = _decode(reply, _Refused, entry) if reply.body else _Refused()
+        answer = (
+            decode_answer(reply, _Refused, step="decode", peer=entry.address)
+            if reply.body
+            else _Refused()
+        )
         clock_s = answer.clock_ms / 1000
         if reply.status == 200:
             return StartAnswer(StartOutcome.STARTED, clock_s)
@@ -87,7 +92,9 @@
         body = {"task": format_task(task), "run": run, "fence": fence}
         reply = self._call(entry, "/run-stop", body, timeout_s)
         if reply.status == 409:
-            _check_fence(_decode(reply, _Refused, entry).reason, entry)
+            _check_fence(
+                decode_answer(reply, _Refused, step="decode", peer=entry.address).reason, entry
+            )
         if reply.status != 200:
             raise TransportError(f"answered {reply.status}", step="stop", peer=entry.address)
 
@@ -100,10 +107,12 @@
             body["wait_ms"] = int(order.wait_s * 1000)
         reply = self._call(entry, "/hold", body, timeout_s)
         if reply.status == 409:
-            _check_fence(_decode(reply, _Refused, entry).reason, entry)
+            _check_fence(
+                decode_answer(reply, _Refused, step="decode", peer=entry.address).reason, entry
+            )
         if reply.status != 200:
             raise TransportError(f"answered {reply.status}", step="hold", peer=entry.address)
-        lists = _decode(reply, _Lists, entry)
+        lists = decode_answer(reply, _Lists, step="decode", peer=entry.address)
         try:
             return _report(lists, entry)
         except (msgspec.ValidationError, ValueError) as exc:
@@ -154,15 +163,6 @@
         raise FenceRejected("the worker obeys a higher fence", step="order", peer=entry.address)
 
 
-def _decode(reply: HttpReply, kind, entry: WorkerEntry):
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as exc:
-        raise TransportError(
-            f"answer {reply.status} cannot be read: {exc}", step="decode", peer=entry.address
-        ) from exc
-
-
 def _report(lists: _Lists, entry: WorkerEntry) -> HoldReport:
     running = []
     for row in lists.running:
