A list of machines that cannot be used is done without

What callers saw: nothing yet.

Evidence: test_a_list_of_machines_that_cannot_be_used_is_done_without failed before with "field cloud.addr must be HOST:PORT, not 'nowhere'".

--- a/src/lacewingmill/jobs/silent_workers.py
+++ b/src/lacewingmill/jobs/silent_workers.py
@@ -44,14 +44,17 @@
         """Return those of the links whose worker has not answered and may still run something."""
         silent = [link for link in links if not link.opened and link.worker not in self._ended]
         unlisted = [link.worker for link in silent if not link.listed]
-        if unlisted and self._machines and self._clock.now() - self._asked_at >= LIST_EVERY_S:
+        if unlisted and self._clock.now() - self._asked_at >= LIST_EVERY_S:
             self._asked_at = self._clock.now()
-            self._look_up(self._machines, unlisted)
+            self._look_up(unlisted)
         return [link for link in silent if link.worker not in self._ended]
 
-    def _look_up(self, machines: MachineList, unlisted: list[str]) -> None:
+    def _look_up(self, unlisted: list[str]) -> None:
+        if self._machines is None:
+            self._log.emit(LogEvent.MACHINES_UNKNOWN, reason="the settings name no list")
+            return
         try:
-            running = machines.workers(timeout_s=LIST_TIMEOUT_S)
+            running = self._machines.workers(timeout_s=LIST_TIMEOUT_S)
         except TransportError as exc:
             self._log.emit(LogEvent.MACHINES_UNKNOWN, reason=exc.message)
             return
--- a/src/lacewingmill/platform/settings.py
+++ b/src/lacewingmill/platform/settings.py
@@ -36,7 +36,8 @@
         metrics=f"{host}:{peer_port + 1}",
         store=fields.address("platform.addr"),
         advice=fields.optional_address("advice"),
-        machines=fields.optional_address("cloud.addr"),
+        # Only shortens takeovers, so a VM does without it when it cannot be used.
+        machines=fields.usable_address("cloud.addr"),
         limits=PlatformLimits(
             # grace_s: from SIGTERM to SIGKILL.
             grace_s=fields.number("bounds.grace_s"),
@@ -75,6 +76,11 @@
         """Return a field of the form ``host:port`` that may be missing or empty."""
         return self.address(name) if self._fields.get(name) else ""
 
+    def usable_address(self, name: str) -> str:
+        """Return a field of the form ``host:port``; empty when it holds anything else."""
+        value = self._fields.get(name, "")
+        return value if is_address(value) else ""
+
     def address(self, name: str) -> str:
         """Return a field of the form ``host:port``."""
         value = self.text(name)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -223,6 +223,15 @@
     cfg = load_platform_settings(path)
     assert (cfg.front, cfg.peers, cfg.store) == ("10.1.0.19:8521", "10.1.0.19:7000", "10.9.0.1:1")
     assert cfg.limits.longest_hold_s == 6.0
+    assert (cfg.advice, cfg.machines) == ("", "")
+
+
+# Guards against a process that ends at its start for a service that it can do without.
+@pytest.mark.parametrize(("value", "address"), [("10.2.0.1:84", "10.2.0.1:84"), ("nowhere", "")])
+def test_a_list_of_machines_that_cannot_be_used_is_done_without(tmp_path, value, address):
+    path = tmp_path / "settings.conf"
+    path.write_text("\n".join([*SETTINGS, f"cloud.addr={value}"]))
+    assert load_platform_settings(path).machines == address
 
 
 def test_an_answer_other_than_one_of_the_workers_is_no_answer():
