A large answer may take its time over a slow link

Cause: front-kingston-8, with a link of 10 Mbit/s like 25 of the 35 VMs there, was elected (400) and never began to direct (no 403). It read the stored jobs, 517 KB by then, in a call that had to be over in 0.8 s; its link takes longer, so it gave up and began anew for ever. The limit of a call now holds up to the first 64 KiB of an answer, and for each 64 KiB more, so that silence is still noticed after 0.8 s and a slow link is not taken for it. The same limit held for a configuration that has grown large.

Evidence: test_a_large_answer_over_a_slow_link_is_read_whole failed before (no answer within 2 s); test_a_large_answer_that_stops_in_the_middle_is_given_up holds the other side.

Not mended: a reading relayed by another VM must still begin to arrive within 1 s, and the election prefers no faster VM.

--- a/src/lacewingmill/adapters/http_client.py
+++ b/src/lacewingmill/adapters/http_client.py
@@ -72,15 +72,15 @@
         """Send one request and read its whole answer.
 
         :param peer: ``host:port``, an IP number and a port.
-        :param timeout_s: limit for the whole exchange, in seconds.
+        :param timeout_s: limit up to the first :data:`BLOCK_BYTES` of the answer, and for each
+            block more, in seconds: a large answer takes its time over a slow link.
         :raises ConnectFailed: nothing was sent.
         :raises CallTimeout: no whole answer arrived in time.
         :raises TransportError: the connection broke after bytes may have been sent.
         """
         client = self._client(peer)
         try:
-            with gevent.Timeout(timeout_s):
-                return self._exchange(client, method, path, body, headers or {})
+            return self._exchange(client, method, path, body, headers or {}, timeout_s)
         except gevent.Timeout as exc:
             self._retire(peer, client)
             raise CallTimeout(f"no answer within {timeout_s:g} s", step=path, peer=peer) from exc
@@ -121,10 +121,15 @@
         client.close()
 
     @staticmethod
-    def _exchange(client, method, path, body, headers) -> HttpReply:
-        response = client.request(method, path, body=body, headers=headers)
+    def _exchange(client, method, path, body, headers, timeout_s) -> HttpReply:
+        with gevent.Timeout(timeout_s):
+            response = client.request(method, path, body=body, headers=headers)
+            data = block = bytes(response.read(BLOCK_BYTES))
         try:
-            data = bytes(response.read())
+            while len(block) == BLOCK_BYTES:
+                with gevent.Timeout(timeout_s):
+                    block = bytes(response.read(BLOCK_BYTES))
+                data += block
         finally:
             response.release()
         declared = response.content_length
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lacewingmill.adapters import http_server
-from lacewingmill.adapters.http_client import HttpCaller
+from lacewingmill.adapters.http_client import BLOCK_BYTES, HttpCaller
 from lacewingmill.adapters.http_server import HttpAnswer, HttpService
 from lacewingmill.adapters.peers import DIGEST_HEADER, REQUEST_HEADER, RemoteCell, digest_of
 from lacewingmill.adapters.targets import HttpExecutors
@@ -97,6 +97,41 @@
     relay.stop()
 
 
+def sender(part, pause_s, parts=6):
+    """Return a server that sends an answer in parts; the last ones never, if it pauses for ever."""
+
+    def send(sock, _):
+        sock.recv(4096)
+        length = len(part) * parts
+        sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n".encode())
+        for _ in range(parts):
+            sock.sendall(part)
+            gevent.sleep(pause_s)
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), send)
+    server.start()
+    return server
+
+
+# Guards against a takeover that never ended: a VM with a slow link gave up reading the jobs.
+def test_a_large_answer_over_a_slow_link_is_read_whole():
+    server = sender(b"x" * BLOCK_BYTES, pause_s=0.5)
+    try:
+        reply = post(HttpCaller(), f"127.0.0.1:{server.server_port}", timeout_s=2.0)
+    finally:
+        server.stop()
+    assert len(reply.body) == 6 * BLOCK_BYTES
+
+
+def test_a_large_answer_that_stops_in_the_middle_is_given_up():
+    server = sender(b"x" * BLOCK_BYTES, pause_s=600.0)
+    try:
+        with pytest.raises(CallTimeout):
+            post(HttpCaller(), f"127.0.0.1:{server.server_port}", timeout_s=0.5)
+    finally:
+        server.stop(timeout=0)
+
+
 def test_refused_connection_is_known_to_have_sent_nothing():
     with pytest.raises(ConnectFailed):
         post(HttpCaller(), "127.0.0.1:1")
