A new owner that cannot read the store says why

An owner that never began to direct left no line of ours: jobs_taken (400) was the last one. jobs_unread (405) now names what it reads, the jobs or the workers, and why that fails, each time.

Evidence: test_a_new_owner_that_cannot_read_the_jobs_says_so.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -60,6 +60,7 @@
     JOBS_LOST = (401, "warning", "This VM directs the jobs no more; the reason is given.")
     JOBS_LEASE_KEPT = (402, "warning", "An owner's lease could not be ended; it lapses by itself.")
     JOBS_OWNER_REPLACED = (404, "warning", "An owner that two VMs do not reach loses its lease.")
+    JOBS_UNREAD = (405, "warning", "A new owner cannot read the store yet; it tries again.")
     JOBS_RECOVERED = (403, "info", "A new owner has read the jobs and what runs on the workers.")
     JOB_ACCEPTED = (410, "info", "A job was stored, and its caller was told so.")
     JOB_NOT_ACCEPTED = (411, "info", "A job was refused and never runs; the reason is given.")
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -1,5 +1,6 @@
 """One VM that accepts jobs of steps, and directs all of them while it is the owner."""
 
+from collections.abc import Callable
 from functools import partial
 
 import attrs
@@ -145,12 +146,13 @@
         director.take_over(hold_back_s if tenure.owner.term > 1 else 0.0)
         director.run()
 
-    def _load(self, load) -> None:
+    def _load(self, load: Callable[[], None]) -> None:
         while True:
             try:
                 load()
                 return
-            except StoreUnavailable:
+            except StoreUnavailable as exc:
+                self._log.emit(LogEvent.JOBS_UNREAD, load=load.__qualname__, reason=exc.message)
                 self._clock.sleep(RETRY_S)
 
     def _follow_readiness(self) -> None:
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -139,6 +139,17 @@
     assert "machines_unknown" in capsys.readouterr().out
 
 
+def test_a_new_owner_that_cannot_read_the_jobs_says_so(fleet, capsys):
+    fleet.kill(fleet.owner)
+    while not any(vm.director for vm in fleet.vms.values()):
+        fleet.clock.advance(0.0005)
+    fleet.kv.faults.down = True
+    fleet.clock.advance(1.0)
+    fleet.kv.faults.down = False
+    wait_for_owner(fleet)
+    assert "jobs_unread" in capsys.readouterr().out
+
+
 def test_a_first_look_without_an_answer_holds_nothing_back(fleet):
     """A new owner asks a worker again before it counts it as one that may run things unseen."""
     steps = [step(count=2), step(count=2, after=[0])]
