VMs with a faster link direct first

What callers saw: after an owner had stopped or died, jobs stood still for over a second where the next owner had a slow link, for it reads all jobs before it plans; afterwards it speaks to all workers over that link.

Cause: any VM was as likely as another. One whose link carries less than 20 Mbit/s, by its settings, now lets the others go first, 0.25 s later than they; where all links are slow, a takeover takes that much longer. A settings file that does not tell the speed, or tells it wrongly, changes nothing.

Evidence: test_a_vm_with_a_fast_link_directs_where_one_is_left failed without the delay (vm0 and vm3, with slow links, directed first).

--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -14,7 +14,7 @@
 from lacewingmill.jobs.desk import DeskParts, JobDesk
 from lacewingmill.jobs.director import Director, DirectorParts
 from lacewingmill.jobs.directory import VmDirectory
-from lacewingmill.jobs.election import JobElector, JobOwner
+from lacewingmill.jobs.election import JobElector, JobOwner, election_delay_s
 from lacewingmill.jobs.owner_watch import OwnerWatch
 from lacewingmill.jobs.peers import OwnerCalls
 from lacewingmill.jobs.ports import WorkerEntry
@@ -83,7 +83,8 @@
 
     vm = JobVm(settings, parts, clock, log, follower, roster_of, directory)
     me = JobOwner(settings.vm, settings.peers, uuid.uuid4().hex, 0, 0)
-    elector = JobElector(me, store, clock, log, vm.take, vm.leave, outside.rng)
+    delay_s = election_delay_s(settings.link_mbps)
+    elector = JobElector(me, store, clock, log, vm.take, vm.leave, outside.rng, delay_s)
     calls = OwnerCalls(caller)
     owner_watch = OwnerWatch(settings.peers, elector, calls, directory, clock)
     desk = JobDesk(
--- a/src/lacewingmill/jobs/election.py
+++ b/src/lacewingmill/jobs/election.py
@@ -18,7 +18,7 @@
 from lacewingmill.jobs.ports import ItemRevision, Put, Record, Transaction, TransactionStore
 from lacewingmill.ports import Clock
 
-__all__ = ["JobElector", "JobOwner", "Tenure", "Term"]
+__all__ = ["JobElector", "JobOwner", "Tenure", "Term", "election_delay_s"]
 
 # An owner that dies without a trace is replaced after this time; it must outlast several renewals.
 LEASE_S = 2.5
@@ -29,6 +29,10 @@
 RETRY_S = 0.25
 # Spreads the VMs that try to become owner, so that most see the winner before they try.
 SPREAD_S = 0.12
+# A link below this takes over 0.4 s for the largest page of the store, 1 MB, and a new owner reads
+# all jobs before it plans. It lets others go first: for the spread, and for the calls of a try.
+SLOW_LINK_MBPS = 20.0
+SLOW_LINK_DELAY_S = 0.25
 # Certainty margin between this VM's clock and the store's.
 MARGIN_S = 0.15
 
@@ -82,12 +86,21 @@
         return not self.ended and self.clock.now() < self.valid_until
 
 
+def election_delay_s(link_mbps: float) -> float:
+    """Return how long a VM lets others go first, in seconds.
+
+    :param link_mbps: what its link carries, in megabits a second.
+    """
+    return SLOW_LINK_DELAY_S if link_mbps < SLOW_LINK_MBPS else 0.0
+
+
 class JobElector:
     """Follows the owner's key and takes it when it is free.
 
     :param me: this VM; its term and lease are filled in.
     :param take: called when this VM becomes owner.
     :param leave: called when it is owner no more.
+    :param delay_s: how long it lets other VMs go first, in seconds.
     """
 
     def __init__(
@@ -99,8 +112,10 @@
         take: Callable[[Tenure], None],
         leave: Callable[[], None],
         rng: random.Random,
+        delay_s: float = 0.0,
     ):
         self._me = me
+        self._delay_s = delay_s
         self._store = store
         self._clock = clock
         self._log = log
@@ -203,7 +218,7 @@
         if not self.eligible:
             self._clock.sleep(RETRY_S)
             return
-        self._clock.sleep(self._rng.uniform(0.0, SPREAD_S))
+        self._clock.sleep(self._delay_s + self._rng.uniform(0.0, SPREAD_S))
         term_record = self._store.get(TERM_KEY)
         if self._store.get(OWNER_KEY) is not None or not self.eligible:
             return
--- a/src/lacewingmill/jobs/settings.py
+++ b/src/lacewingmill/jobs/settings.py
@@ -1,5 +1,7 @@
 """Settings of a VM that runs jobs of steps on the users' platform."""
 
+import math
+
 import attrs
 
 __all__ = ["JobVmSettings", "PlatformLimits"]
@@ -30,6 +32,7 @@
     :param store: ``host:port`` of the store.
     :param advice: ``host:port`` of the advice service; empty where there is none.
     :param machines: ``host:port`` of the list of machines; empty where there is none.
+    :param link_mbps: what the VM's link carries, in megabits a second; infinite if not known.
     """
 
     vm: str
@@ -42,3 +45,4 @@
     limits: PlatformLimits
     advice: str = ""
     machines: str = ""
+    link_mbps: float = math.inf
--- a/src/lacewingmill/platform/settings.py
+++ b/src/lacewingmill/platform/settings.py
@@ -1,5 +1,6 @@
 """The settings file that the platform writes: lines of the form ``a.b=value``."""
 
+import math
 from pathlib import Path
 
 from lacewingmill.exceptions import SettingsError
@@ -36,8 +37,9 @@
         metrics=f"{host}:{peer_port + 1}",
         store=fields.address("platform.addr"),
         advice=fields.optional_address("advice"),
-        # Only shortens takeovers, so a VM does without it when it cannot be used.
+        # These two only shorten takeovers, so a VM does without them when they cannot be used.
         machines=fields.usable_address("cloud.addr"),
+        link_mbps=fields.usable_number("limits.link_mbps", math.inf),
         limits=PlatformLimits(
             # grace_s: from SIGTERM to SIGKILL.
             grace_s=fields.number("bounds.grace_s"),
@@ -108,6 +110,13 @@
                 f"field {name} must be a number, not {value!r}", step="settings"
             ) from exc
 
+    def usable_number(self, name: str, otherwise: float) -> float:
+        """Return a field as a number; another one when it holds anything else."""
+        try:
+            return float(self._fields.get(name, ""))
+        except ValueError:
+            return otherwise
+
     def seconds(self, name: str) -> float:
         """Return a field in milliseconds as seconds."""
         return self.number(name) / MS_PER_S
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -16,9 +16,13 @@
 
 
 class PlatformFleet:
-    """Some VMs, some executors of 8 GPUs and 32 cores in racks of two, and a store."""
+    """Some VMs, some executors of 8 GPUs and 32 cores in racks of two, and a store.
 
-    def __init__(self, vms=2, executors=4):
+    :param slow_links: names of the VMs whose link is slow.
+    """
+
+    def __init__(self, vms=2, executors=4, slow_links=()):
+        self.slow_links = slow_links
         self.clock = VirtualClock()
         self.kv = KvStore(self.clock)
         self.network = EmulatedNetwork(self.clock, self.kv, STORE)
@@ -64,6 +68,7 @@
             LIMITS,
             ADVISOR,
             MACHINES,
+            link_mbps=10.0 if name in self.slow_links else 1000.0,
         )
         vm = build_job_vm(
             settings, Outside(self.clock, caller, self.network.service, random.Random(name))
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -1,6 +1,7 @@
 """What the platform sends, damaged or from another writer: a typed message or a clear error."""
 
 import json
+import math
 import re
 from pathlib import Path
 
@@ -234,6 +235,13 @@
     assert load_platform_settings(path).machines == address
 
 
+@pytest.mark.parametrize(("value", "speed"), [("100.0", 100.0), ("", math.inf), ("?", math.inf)])
+def test_the_speed_of_a_link_need_not_be_known(tmp_path, value, speed):
+    path = tmp_path / "settings.conf"
+    path.write_text("\n".join([*SETTINGS, f"limits.link_mbps={value}"]))
+    assert load_platform_settings(path).link_mbps == speed
+
+
 def test_an_answer_other_than_one_of_the_workers_is_no_answer():
     entry = decode_worker(Record("servers/i-1", json.dumps(WORKER).encode(), 1))
     orders = HttpWorkerOrders(Answering(500, b""))
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -165,6 +165,18 @@
     fleet.check_promises()
 
 
+# Guards against takeovers that take over a second: the new owner reads all jobs over its link.
+def test_a_vm_with_a_fast_link_directs_where_one_is_left():
+    fleet = PlatformFleet(vms=6, slow_links=("vm0", "vm1", "vm2", "vm3"))
+    owners = []
+    for _ in range(3):
+        wait_for_owner(fleet)
+        owners.append(fleet.owner)
+        fleet.kill(fleet.owner)
+    assert sorted(owners[:2]) == ["vm4", "vm5"]
+    assert owners[2] in fleet.slow_links
+
+
 def test_an_owner_that_dies_silently_is_replaced_before_its_lease_lapses():
     """Urgent work has a second or two, so a lease of 2.5 s is too long to wait for."""
     fleet = PlatformFleet(vms=3)
