--- a/src/lacewingmill/platform/orders.py
+++ b/src/lacewingmill/platform/orders.py
@@ -70,11 +70,7 @@
         if order.ticket:
             body["ticket"] = order.ticket
         reply = self._call(entry, "/run-start", body, timeout_s)
-        answer = (
-            decode_answer(reply, _Refused, step="decode", peer=entry.address)
-            if reply.body
-            else _Refused()
-        )
+        answer = _refusal(reply, entry) if reply.body else _Refused()
         clock_s = answer.clock_ms / 1000
         if reply.status == 200:
             return StartAnswer(StartOutcome.STARTED, clock_s)
@@ -92,9 +88,7 @@
         body = {"task": format_task(task), "run": run, "fence": fence}
         reply = self._call(entry, "/run-stop", body, timeout_s)
         if reply.status == 409:
-            _check_fence(
-                decode_answer(reply, _Refused, step="decode", peer=entry.address).reason, entry
-            )
+            _check_fence(_refusal(reply, entry).reason, entry)
         if reply.status != 200:
             raise TransportError(f"answered {reply.status}", step="stop", peer=entry.address)
 
@@ -107,9 +101,7 @@
             body["wait_ms"] = int(order.wait_s * 1000)
         reply = self._call(entry, "/hold", body, timeout_s)
         if reply.status == 409:
-            _check_fence(
-                decode_answer(reply, _Refused, step="decode", peer=entry.address).reason, entry
-            )
+            _check_fence(_refusal(reply, entry).reason, entry)
         if reply.status != 200:
             raise TransportError(f"answered {reply.status}", step="hold", peer=entry.address)
         lists = decode_answer(reply, _Lists, step="decode", peer=entry.address)
@@ -158,6 +150,10 @@
     return TaskId(job_id, int(occurrence), int(step), int(index))
 
 
+def _refusal(reply: HttpReply, entry: WorkerEntry) -> _Refused:
+    return decode_answer(reply, _Refused, step="decode", peer=entry.address)
+
+
 def _check_fence(reason: str, entry: WorkerEntry) -> None:
     if reason == "fence":
         raise FenceRejected("the worker obeys a higher fence", step="order", peer=entry.address)
