A time-out around a call is not taken for that of the call

The client now tells its own limit apart, which is where the fault was. Nothing in src sets a time-out around a call, so the product behaves as before.

Evidence: test_a_time_out_around_a_call_is_not_taken_for_that_of_the_call failed before.

--- a/src/lacewingmill/adapters/http_client.py
+++ b/src/lacewingmill/adapters/http_client.py
@@ -36,6 +36,10 @@
     body: bytes
 
 
+class _CallTimer(gevent.Timeout):
+    """The limit of a call, told apart from any that the caller has set around it."""
+
+
 class _Pool(ConnectionPool):
     """Connection pool that tells failed connects from failed exchanges."""
 
@@ -81,7 +85,7 @@
         client = self._client(peer)
         try:
             return self._exchange(client, method, path, body, headers or {}, timeout_s)
-        except gevent.Timeout as exc:
+        except _CallTimer as exc:
             self._retire(peer, client)
             raise CallTimeout(f"no answer within {timeout_s:g} s", step=path, peer=peer) from exc
         except ConnectFailed:
@@ -122,12 +126,12 @@
 
     @staticmethod
     def _exchange(client, method, path, body, headers, timeout_s) -> HttpReply:
-        with gevent.Timeout(timeout_s):
+        with _CallTimer(timeout_s):
             response = client.request(method, path, body=body, headers=headers)
             data = block = bytes(response.read(BLOCK_BYTES))
         try:
             while len(block) == BLOCK_BYTES:
-                with gevent.Timeout(timeout_s):
+                with _CallTimer(timeout_s):
                     block = bytes(response.read(BLOCK_BYTES))
                 data += block
         finally:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -136,6 +136,16 @@
         server.stop(timeout=0)
 
 
+# Guards against a soak that hung: its own time-out was taken for that of a call, again and again.
+def test_a_time_out_around_a_call_is_not_taken_for_that_of_the_call():
+    server = sender(pause_s=600.0)
+    try:
+        with pytest.raises(gevent.Timeout), gevent.Timeout(0.2):
+            post(HttpCaller(), f"127.0.0.1:{server.server_port}", timeout_s=60.0)
+    finally:
+        server.stop(timeout=0)
+
+
 def test_refused_connection_is_known_to_have_sent_nothing():
     with pytest.raises(ConnectFailed):
         post(HttpCaller(), "127.0.0.1:1")
