--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -12,6 +12,7 @@
 import json
 import math
 import os
+import random
 import shlex
 import signal
 import socket
@@ -591,10 +592,10 @@
         )
 
     async def start_vms(self):
-        ports = _free_ports(4 * len(self.vms))
+        first = _free_ports(4 * len(self.vms))
         for number, vm in enumerate(self.vms):
-            vm.front, vm.ready, vm.peers = ports[4 * number], ports[4 * number + 1], None
-            vm.peers = _free_pair()
+            vm.front = first + 4 * number
+            vm.ready, vm.peers = vm.front + 1, vm.front + 2
             self.start_vm(vm)
         for vm in self.vms:
             for _ in range(300):
@@ -840,27 +841,17 @@
 
 
 def _free_ports(count):
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
-def _free_pair():
-    """Return the first of two free ports that follow each other."""
+    """Return the first of some free ports in a row, below those of outgoing channels."""
     for _ in range(200):
-        with socket.socket() as first, socket.socket() as second:
-            first.bind((HOST, 0))
-            port = first.getsockname()[1]
+        first = random.randrange(12000, 30000)
+        with contextlib.ExitStack() as stack:
             try:
-                second.bind((HOST, port + 1))
-            except (OSError, OverflowError):
+                for port in range(first, first + count):
+                    stack.enter_context(socket.socket()).bind((HOST, port))
+            except OSError:
                 continue
-            return port
-    raise RuntimeError("no two free ports that follow each other")
+        return first
+    raise RuntimeError(f"no {count} free ports in a row")
 
 
 def main(play, folder, vms=6):
