Hold back steps that become ready after a takeover

Cause: a takeover held back only the units that were ready when it adopted the runs. A step that became ready later, by an end that a worker listed late or by its start time, was started although a worker that didn't answer ran it for the earlier owner, which had not been able to store the end of the step before.

Change: as long as such a worker may run tasks of an earlier owner, each unit that becomes ready is held back. Jobs accepted under this owner are exempt, and so are steps of which a dependency has run under it: no earlier owner can have started those, so nothing is delayed that need not be.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -351,7 +351,8 @@
         if not self.recovered:
             return
         for unit in graph.take_ready_units(self._clock.wall()):
-            self._queue(unit)
+            if not self._takeover.hold_back(unit):
+                self._queue(unit)
 
     def _queue(self, unit: Unit) -> None:
         if not self.registry.needs_run(unit):
--- a/src/lacewingmill/jobs/graph.py
+++ b/src/lacewingmill/jobs/graph.py
@@ -66,6 +66,7 @@
         self._done: dict[tuple[int, int], set[int]] = {}
         self._failures: dict[Unit, set[int]] = {}
         self._ready_steps: set[tuple[int, int]] = set()
+        self._observed_steps: set[tuple[int, int]] = set()
 
     def restore(self, progress: Progress) -> None:
         """Load stored progress."""
@@ -153,6 +154,18 @@
             for index in range(self.submission.steps[number].count):
                 self.mark_done(self.unit_of(attrs.evolve(dependency, index=index)), wall)
 
+    def record_observed(self, unit: Unit) -> None:
+        """Record that this owner has seen a unit run, or has ordered its start."""
+        self._observed_steps.add((unit.occurrence, unit.step))
+
+    def maybe_started_earlier(self, unit: Unit) -> bool:
+        """Whether an earlier owner may have started the unit's step.
+
+        It cannot have if a step that this one depends on has run under this owner.
+        """
+        after = self.submission.steps[unit.step].after
+        return all((unit.occurrence, number) not in self._observed_steps for number in after)
+
     def is_ready(self, unit: Unit) -> bool:
         """Whether the unit's step has become ready, as far as this owner knows."""
         return (unit.occurrence, unit.step) in self._ready_steps
--- a/src/lacewingmill/jobs/takeover.py
+++ b/src/lacewingmill/jobs/takeover.py
@@ -26,7 +26,7 @@
     """Adopts the units that run when this VM becomes owner.
 
     A unit of which no run was found is held back for as long as a worker that does not answer may
-    still run it.
+    still run it, whether its step is ready at the takeover or becomes ready later.
 
     :param fence: the owner's fencing token, a store revision; no earlier owner has started a job
         that was accepted at a later one.
@@ -77,6 +77,19 @@
                 self._adopt_job(graph, unconfirmed_until if earlier else 0.0)
         self._listed_runs.clear()
 
+    def hold_back(self, unit: Unit) -> bool:
+        """Hold back a unit that has become ready, if a silent worker may run it.
+
+        Its step becomes ready by an end that is listed late, or by its start time.
+
+        :return: whether the unit is held back.
+        """
+        graph = self._registry.graphs[unit.job_id]
+        if self._released or graph.revision >= self._fence or not graph.maybe_started_earlier(unit):
+            return False
+        self._held_back[unit.unit_id] = unit
+        return True
+
     def release(self) -> list[Unit]:
         """Return the held-back units, once no silent worker can run a task of an earlier owner."""
         self._released = True
--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -110,6 +110,7 @@
     def add(self, active: ActiveUnit) -> None:
         """Add a unit that was already running when this VM became owner."""
         active.graph.started = True
+        active.graph.record_observed(active.unit)
         self._active[active.unit.unit_id] = active
 
     def start(self, unit: Unit, placement: Placement) -> None:
@@ -119,6 +120,7 @@
         self._runs[unit.unit_id] = run
         members = _members(unit, run, placement)
         active = ActiveUnit(unit, graph, run, members, self._clock.now())
+        graph.record_observed(unit)
         self._active[unit.unit_id] = active
         workers = [allocation.worker for allocation in placement]
         self._log.emit(LogEvent.UNIT_ORDERED, unit=unit.unit_id, run=run, workers=workers)
--- /dev/null
+++ b/tests/test_takeover_hold_back.py
@@ -0,0 +1,133 @@
+"""Units that a worker may still run for an earlier owner, when a new owner plans; virtual time."""
+
+import pytest
+
+from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from tests.test_platform_path import run
+
+# A worker on which nothing renews a lease keeps its runs for 6 s; a new owner waits a little longer
+# because the worker's clock may be slow.
+HOLD_BACK_S = 8.0
+
+
+class SkewedClock:
+    """The fleet's clock with a time of day that is ahead of the true one."""
+
+    def __init__(self, clock, ahead_s):
+        self._clock = clock
+        self._ahead_s = ahead_s
+
+    def wall(self):
+        return self._clock.wall() + self._ahead_s
+
+    def __getattr__(self, name):
+        return getattr(self._clock, name)
+
+
+def executor_of(fleet, task):
+    [name] = [entry.executor for entry in fleet.run_history.runs if entry.task == task]
+    return next(executor for executor in fleet.executors if executor.name == name)
+
+
+def cut_off(fleet, *executors):
+    vms = (*fleet.http_clients, "vm0", "vm1", "vm2")
+    fleet.network.cut |= {(vm, executor.entry["addr"]) for vm in vms for executor in executors}
+
+
+def reconnect(fleet, executor):
+    address = executor.entry["addr"]
+    fleet.network.cut = {pair for pair in fleet.network.cut if pair[1] != address}
+
+
+def replace_owner(fleet):
+    fleet.kill(fleet.owner)
+    fleet.kv.faults.down = False
+    wait_for_owner(fleet)
+
+
+# Guards against a second run of a step that becomes ready after a takeover by an end that is listed
+# late, while a worker that does not answer runs it for the earlier owner.
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_step_that_becomes_ready_by_an_end_listed_late_is_held_back(gang):
+    fleet = PlatformFleet(executors=8)
+    second_step = step(count=2, gpu=8, gang=gang, after=[0], data_rack="r1")
+    steps = [step(data_rack="r0"), second_step]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=2", seconds=1.5)
+    fleet.kv.faults.down = True
+    fleet.clock.advance(1.0)
+    first, *second = fleet.run_history.runs
+    assert len(second) == 2
+    for entry in second:
+        entry.run_s = 15.0
+    late = executor_of(fleet, first.task)
+    cut_off(fleet, late, *(executor_of(fleet, entry.task) for entry in second))
+    replace_owner(fleet)
+    fleet.clock.advance(0.5)
+    reconnect(fleet, late)
+    fleet.clock.advance(25.0)
+    fleet.network.cut = set()
+    fleet.clock.advance(25.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_invariants()
+
+
+# Guards against a second run of an occurrence that an owner with a fast clock has started, and that
+# the next owner finds due only after its takeover.
+def test_an_occurrence_that_becomes_due_after_a_takeover_is_held_back():
+    fleet = PlatformFleet(vms=0)
+    true_clock, fleet.clock = fleet.clock, SkewedClock(fleet.clock, 4.0)
+    fleet.start_vm("vm0")
+    fleet.clock = true_clock
+    wait_for_owner(fleet)
+    fleet.start_vm("vm1")
+    fleet.start_vm("vm2")
+    fleet.clock.advance(1.5)
+    due_ms = int((fleet.clock.wall() + 5.0) * 1000)
+    body = {"spec": "run_s=20", "steps": [step()], "times": 1, "start_at_ms": due_ms}
+    fleet.run_history.jobs[job_id(1)] = fleet.make_submitted_job([step()])
+    path = f"/ordinary/{job_id(1)}"
+    assert run(fleet, fleet.call, "vm0", "POST", path, body, seconds=1.5)[0] == 200
+    [started] = fleet.run_history.runs
+    assert started.started_at * 1000 < due_ms
+    cut_off(fleet, executor_of(fleet, started.task))
+    replace_owner(fleet)
+    assert fleet.clock.wall() * 1000 < due_ms
+    fleet.clock.advance(40.0)
+    fleet.network.cut = set()
+    fleet.clock.advance(10.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_invariants()
+
+
+# Guards against holding back steps that no earlier owner can have started, which would delay them
+# by the longest lease although workers are free.
+def test_a_step_whose_dependencies_still_ran_after_the_takeover_is_not_held_back(fleet):
+    steps = [step(), step(gpu=8, after=[0])]
+    other = [step(gpu=8)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(2), other, "run_s=30", seconds=0.5)
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=4", seconds=0.5)
+    cut_off(fleet, executor_of(fleet, f"{job_id(2)}.0.0.0"))
+    replace_owner(fleet)
+    fleet.clock.advance(5.0)
+    [first] = [r for r in fleet.run_history.runs if r.task == f"{job_id(1)}.0.0.0"]
+    [second] = [r for r in fleet.run_history.runs if r.task == f"{job_id(1)}.0.1.0"]
+    assert second.started_at - first.ended_at < 0.5
+
+
+# Guards against units that stay held back for good once the silent workers answer or lapse.
+def test_a_held_back_step_starts_once_the_leases_of_silent_workers_have_lapsed(fleet):
+    steps = [step(), step(gpu=8, after=[0])]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=2", seconds=1.5)
+    late, silent = executor_of(fleet, f"{job_id(1)}.0.0.0"), fleet.executors[3]
+    assert late is not silent
+    cut_off(fleet, late, silent)
+    replace_owner(fleet)
+    fleet.clock.advance(1.0)
+    reconnect(fleet, late)
+    fleet.clock.advance(1.5)
+    assert len(fleet.run_history.runs) == 1
+    fleet.clock.advance(HOLD_BACK_S)
+    assert len(fleet.run_history.runs) == 2
+    fleet.clock.advance(3.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_invariants()
