Give up the runs of an unlisted worker only once no machine runs it

Cause: the platform removes the entry of a worker that has left, and also of one that could not renew it. A draining worker without an entry was taken for gone at the first failed call of any kind, and its task was started elsewhere while it ran on.

Change: such a worker is gone when the machine list, read after its last answer, names no machine that runs it; otherwise its leases have to expire. Takeovers follow the same rule by the same code. The argument for unreadable registrations, which only served the removed rule, is gone.

--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -97,7 +97,7 @@
     )
 
     def make_worker_directory(
-        on_change: Callable[[dict[str, WorkerEntry], frozenset[str]], None],
+        on_change: Callable[[dict[str, WorkerEntry]], None],
     ) -> WorkerDirectory:
         return WorkerDirectory(
             store, clock, log, WORKER_PREFIX, decode_worker, on_change, environment.rng
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -261,6 +261,10 @@
         """Handle a worker on which nothing runs any more: it exited, or its leases expired."""
         self.pool.on_worker_lost(link)
 
+    def has_exited(self, link: WorkerLink) -> bool:
+        """Whether a worker has certainly exited, so that nothing runs there; may block."""
+        return self._silent.has_exited(link)
+
     def on_order_unanswered(
         self, link: WorkerLink, member: Member, order: Order, exc: TransportError
     ) -> None:
--- a/src/lacewingmill/jobs/link_listener.py
+++ b/src/lacewingmill/jobs/link_listener.py
@@ -74,6 +74,9 @@
     def on_worker_lost(self, link: "WorkerLink") -> None:
         """Handle a worker on which nothing runs any more: it exited, or its leases expired."""
 
+    def has_exited(self, link: "WorkerLink") -> bool:
+        """Whether a worker has certainly exited, so that nothing runs there; may block."""
+
     def on_order_unanswered(
         self, link: "WorkerLink", member: Member, order: Order, exc: TransportError
     ) -> None:
--- a/src/lacewingmill/jobs/silent_workers.py
+++ b/src/lacewingmill/jobs/silent_workers.py
@@ -22,7 +22,8 @@
 
     A worker has exited when the store does not list it and no machine runs it. A missing store
     entry is not sufficient, because the entry may have expired while the worker could not reach the
-    store.
+    store. Neither is a failed call, of any kind: connections are reset, and a firewall between VM
+    and worker may refuse them.
 
     :param machines: the platform's machine list; ``None`` where there is none.
     :param answering: returns the workers that answer this owner; a machine list is trusted only if
@@ -40,20 +41,42 @@
         self._answering = answering
         self._clock = clock
         self._log = log
-        self._exited: set[str] = set()
+        self._running: frozenset[str] = frozenset()
         self._listed_at = float("-inf")
+        self._requested_at = float("-inf")
+        self._logged: dict[str, float] = {}
 
     def may_be_running(self, links: list[WorkerLink]) -> list[WorkerLink]:
         """Return the links whose worker has not answered and may still run tasks."""
-        silent = [link for link in links if not link.opened and link.worker not in self._exited]
-        unlisted = [link.worker for link in silent if not link.listed]
-        answering = self._answering()
-        if unlisted and answering and self._clock.now() - self._listed_at >= LIST_INTERVAL_S:
-            self._listed_at = self._clock.now()
-            self._find_exited(unlisted, answering)
-        return [link for link in silent if link.worker not in self._exited]
+        return [link for link in links if not link.opened and not self.has_exited(link)]
+
+    def has_exited(self, link: WorkerLink) -> bool:
+        """Whether a worker has certainly exited, so that nothing runs there.
+
+        Reads the machine list, at most once in a while.
+        """
+        if link.listed:
+            return False
+        if not self._is_missing(link) and (
+            self._clock.now() - self._requested_at >= LIST_INTERVAL_S
+        ):
+            self._read_list()
+        if not self._is_missing(link):
+            return False
+        if self._logged.get(link.worker) != link.reported_at:
+            self._logged[link.worker] = link.reported_at
+            self._log.emit(LogEvent.WORKER_ENDED, worker=link.worker)
+        return True
 
-    def _find_exited(self, unlisted: list[str], answering: frozenset[str]) -> None:
+    def _is_missing(self, link: WorkerLink) -> bool:
+        """Whether a list that was read after the worker's last answer does not name it."""
+        return self._listed_at > link.reported_at and link.worker not in self._running
+
+    def _read_list(self) -> None:
+        answering = self._answering()
+        if not answering:
+            return
+        requested_at = self._requested_at = self._clock.now()
         if self._machines is None:
             self._log.emit(LogEvent.MACHINES_UNKNOWN, reason="the settings name no machine list")
             return
@@ -67,7 +90,4 @@
                 LogEvent.MACHINES_UNKNOWN, reason="the machine list names no worker that answers"
             )
             return
-        for worker in unlisted:
-            if worker not in running:
-                self._exited.add(worker)
-                self._log.emit(LogEvent.WORKER_ENDED, worker=worker)
+        self._running, self._listed_at = running, requested_at
--- a/src/lacewingmill/jobs/worker_directory.py
+++ b/src/lacewingmill/jobs/worker_directory.py
@@ -25,8 +25,7 @@
 
     :param prefix: key prefix of the registrations.
     :param decode: decodes a registration; raises ``DocumentInvalid`` for a malformed one.
-    :param on_change: called after each change with all workers by id, and with the ids of those
-        whose registration cannot be read.
+    :param on_change: called after each change with all readable registrations by id of the worker.
     """
 
     def __init__(
@@ -36,7 +35,7 @@
         log: EventLog,
         prefix: str,
         decode: Callable[[Record], WorkerEntry],
-        on_change: Callable[[dict[str, WorkerEntry], frozenset[str]], None],
+        on_change: Callable[[dict[str, WorkerEntry]], None],
         rng: random.Random,
     ):
         self._store = store
@@ -88,7 +87,7 @@
             self._report_change()
 
     def _report_change(self) -> None:
-        self._on_change(self._entries, frozenset(self._unreadable))
+        self._on_change(self._entries)
 
     def _reload(self) -> None:
         try:
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -54,8 +54,6 @@
 # When a worker is idle, its ends are acknowledged with the next start, or after this time.
 ACK_DELAY_S = 1.0
 SILENT_AFTER_FAILURES = 2
-# Shorter than the silence after which the platform unlists a worker, longer than one long poll.
-RECENT_REPORT_S = 3.0
 UNHEALTHY_PAUSE_S = 1.0
 
 
@@ -65,7 +63,7 @@
     ``members`` holds the members of units that may run on the worker, and ``orphans`` the runs that
     belong to no unit and are being stopped. ``opened`` is set while the worker has answered this
     owner and is not lost, ``silent`` while it does not answer or is unhealthy, and ``listed`` while
-    it is registered in the store.
+    it is registered in the store. ``reported_at`` is the time of its latest report, in seconds.
 
     :param entry: registration of the worker; replaced when it changes.
     :param listener: receives the events of the link.
@@ -86,6 +84,7 @@
         self.opened = False
         self.silent = False
         self.listed = True
+        self.reported_at = float("-inf")
         self._orders = orders
         self._owner_lease = owner_lease
         self._clock = clock
@@ -100,9 +99,6 @@
         self._failures = 0
         self._unhealthy_until = 0.0
         self._poll_requested = False
-        self._reported_at = 0.0
-        self._exit_expected = False
-        self._removed = False
         self._loop = spawn_with_callback(self._run, listener.on_failed)
 
     @property
@@ -227,25 +223,6 @@
         self.orphans.discard((task, run))
         self.request_poll()
 
-    def note_listed(self) -> None:
-        """Note that the worker is registered in the store, perhaps again after a lapse."""
-        self.listed = True
-        self._removed = False
-        self._exit_expected = False
-
-    def note_removed(self, leaving: bool) -> None:
-        """Note that the worker is no longer registered in the store.
-
-        A worker that was leaving and answered until now has exited once a request to it fails. One
-        that was silent before may have been unlisted for its silence and may still run.
-
-        :param leaving: whether it was leaving.
-        """
-        if self._removed:
-            return
-        self._removed = True
-        self._exit_expected = leaving and self._clock.now() - self._reported_at < RECENT_REPORT_S
-
     def _send_stop(self, member: Member) -> bool:
         with self._slots:
             try:
@@ -340,7 +317,7 @@
 
     def _apply_report(self, report: HoldReport, sent_at: float) -> None:
         self._failures = 0
-        self._reported_at = self._clock.now()
+        self.reported_at = self._clock.now()
         self._lease.set_worker_time(report.clock_s)
         if report.incarnation != self._incarnation:
             self._handle_restart(report.incarnation)
@@ -400,7 +377,7 @@
 
     def _record_failure(self) -> None:
         self._failures += 1
-        if self._exit_expected:
+        if self.members and self._listener.has_exited(self):
             self._declare_lost()
             return
         if self._failures >= SILENT_AFTER_FAILURES:
--- a/src/lacewingmill/jobs/worker_pool.py
+++ b/src/lacewingmill/jobs/worker_pool.py
@@ -84,14 +84,12 @@
             self._stored_workers.add(entry.worker)
             self._links[entry.worker] = self._connect(entry)
 
-    def update(
-        self, entries: dict[str, WorkerEntry], unreadable: frozenset[str] = frozenset()
-    ) -> None:
+    def update(self, entries: dict[str, WorkerEntry]) -> None:
         """Update the links to match the workers registered in the store.
 
-        :param entries: the registrations by id of the worker.
-        :param unreadable: ids of the workers whose registration cannot be read. They get no new
-            work, but have not left.
+        A worker whose registration is missing or cannot be read gets no new work, but may run on.
+
+        :param entries: the readable registrations by id of the worker.
         """
         services = self._services()
         for worker, entry in entries.items():
@@ -99,7 +97,7 @@
                 self._apply_entry(worker, entry, services)
         for worker in [name for name in self._links if name not in entries]:
             with contain_errors(self._log, worker=worker):
-                self._handle_unlisted(self._links[worker], removed=worker not in unreadable)
+                self._handle_unlisted(self._links[worker])
         if any(worker not in self._stored_workers for worker in self._links):
             self._store_used_workers()
 
@@ -153,24 +151,19 @@
     def _update_entry(self, link: WorkerLink, entry: WorkerEntry) -> None:
         was_leaving = link.entry.leaving
         was_listed = link.listed
-        link.note_listed()
+        link.listed = True
         link.entry = entry
         if was_listed and entry.leaving == was_leaving:
             return
         self._log.emit(LogEvent.TARGET_LEAVING, target=link.worker, leaving=entry.leaving)
         self._notify_planner(link, WorkerLeaving(link.worker, stays=not entry.leaving))
 
-    def _handle_unlisted(self, link: WorkerLink, *, removed: bool) -> None:
-        """Handle a worker without a readable registration.
-
-        :param removed: whether it is not registered any more: it has left, or was silent for long.
-        """
+    def _handle_unlisted(self, link: WorkerLink) -> None:
+        """Handle a worker without a readable registration."""
         if link.listed:
             link.listed = False
             self._log.emit(LogEvent.WORKER_UNLISTED, worker=link.worker, leaving=link.entry.leaving)
             self._notify_planner(link, WorkerLeaving(link.worker))
-        if removed:
-            link.note_removed(link.entry.leaving)
         self._remove_if_idle(link)
 
     def _remove_if_idle(self, link: WorkerLink) -> None:
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -29,8 +29,8 @@
     - ``lost_orders``: executors that no order reaches;
     - ``late_orders``: delay after which orders take effect, in seconds; they get no response;
     - ``lost_responses``: number of orders that take effect and get no response;
-    - ``lost_holds``, ``reset_holds``: number of hold calls that time out, or whose connection is
-      reset.
+    - ``lost_holds``, ``reset_holds``, ``refused_holds``: number of hold calls that time out, or
+      whose connection is reset or refused.
 
     Hold calls are the long polls that extend the lease of an executor and return its ended runs.
     They are not orders here. ``call_counts`` counts orders and hold calls by path.
@@ -53,6 +53,7 @@
         self.late_orders: dict[str, float] = {}
         self.lost_holds: dict[str, int] = {}
         self.reset_holds: dict[str, int] = {}
+        self.refused_holds: dict[str, int] = {}
         self.call_counts: dict[str, int] = {}
         self._store_address = store_address
 
@@ -192,6 +193,9 @@
         if path == "/hold" and network.reset_holds.get(executor.name, 0):
             network.reset_holds[executor.name] -= 1
             raise TransportError("connection reset", step=path, peer=peer)
+        if path == "/hold" and network.refused_holds.get(executor.name, 0):
+            network.refused_holds[executor.name] -= 1
+            raise ConnectFailed("refused", step="connect", peer=peer)
         if executor.name in network.lost_orders and path != "/hold":
             network.clock.sleep(timeout_s)
             raise CallTimeout("order lost", step=path, peer=peer)
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from standins.platform import configuration
 from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
@@ -190,3 +192,71 @@
     fleet.clock.advance(26.0)
     assert [entry.outcome for entry in fleet.run_history.runs] == ["done", "done"]
     assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+
+
+def fleet_with_unlisted_draining_worker():
+    """Return a fleet and a draining worker that runs a task, answers and is no longer registered.
+
+    The platform removes an entry when the worker exits, and also when it could not renew it.
+    """
+    fleet = PlatformFleet(vms=1, executors=3)
+    wait_for_owner(fleet)
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step()], "run_s=11", seconds=1.0)
+    name = fleet.run_history.runs[0].executor
+    worker = next(executor for executor in fleet.executors if executor.name == name)
+    fleet.operator.register(worker, state="draining")
+    fleet.clock.advance(4.5)
+    fleet.operator.unregister(worker)
+    fleet.clock.advance(1.0)
+    return fleet, worker
+
+
+# Guards against giving up a draining worker at the first failed call of any kind, because its entry
+# was removed: the entry may have lapsed while the worker runs on.
+@pytest.mark.parametrize("fault", ["reset_holds", "lost_holds", "refused_holds"])
+def test_the_run_of_an_unlisted_draining_worker_continues_after_a_failed_call(fault):
+    fleet, worker = fleet_with_unlisted_draining_worker()
+    getattr(fleet.network, fault)[worker.name] = 1
+    fleet.clock.advance(12.0)
+    assert [entry.outcome for entry in fleet.run_history.runs] == ["done"]
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(1)) == "completed"
+
+
+# Guards against the same while the machine list is unavailable or names no worker that answers.
+@pytest.mark.parametrize("machines", ["down", "of another platform"])
+def test_an_unlisted_worker_is_not_lost_by_a_machine_list_that_tells_nothing(machines):
+    fleet, worker = fleet_with_unlisted_draining_worker()
+    if machines == "down":
+        fleet.network.machines_down = True
+    else:
+        fleet.network.list_machines = lambda path: (200, {"machines": [{"id": "i-99"}]})
+    fleet.network.reset_holds[worker.name] = 1
+    fleet.clock.advance(12.0)
+    assert [entry.outcome for entry in fleet.run_history.runs] == ["done"]
+
+
+# Guards against waiting for the end of a lease although no machine runs the worker any more.
+def test_the_run_of_a_worker_that_has_left_restarts_at_once():
+    fleet, worker = fleet_with_unlisted_draining_worker()
+    worker.exit()
+    fleet.clock.advance(2.0)
+    assert [entry.outcome for entry in fleet.run_history.runs] == ["exited", ""]
+
+
+# Guards against taking a worker for gone by a machine list that is older than its last answer.
+def test_a_worker_that_restarted_after_the_machine_list_was_read_is_not_lost():
+    fleet, worker = fleet_with_unlisted_draining_worker()
+    other = next(each for each in fleet.executors if each is not worker)
+    steps = [step(count=2, gpu=8)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(2), steps, "run_s=30", seconds=0.1)
+    list_machines = fleet.network.list_machines
+    rows = [{"id": each.name} for each in fleet.executors if each not in (worker, other)]
+    fleet.network.list_machines = lambda path: (200, {"machines": rows})
+    fleet.operator.unregister(other)
+    fleet.network.reset_holds[other.name] = 1
+    fleet.clock.advance(0.5)
+    fleet.network.list_machines = list_machines
+    fleet.network.reset_holds[worker.name] = 1
+    fleet.clock.advance(12.0)
+    runs = [entry for entry in fleet.run_history.runs if entry.task.startswith(job_id(1))]
+    assert [entry.outcome for entry in runs] == ["done"]
