Let jobs return to workers on which they failed; reserve only what can be used

Cause: a job avoided a worker on which it had failed for as long as it waited. A gang as wide as the pool, a job with one worker by its label or advice, and a job that lasts and has failed everywhere were left without a worker. The reservation for a waiting gang didn't know of the avoidance and kept all workers for it, round after round.

Change: one place tells which workers a job avoids now, and placement, claims, quotas and reservations ask it. A job returns after 2 s, unless the cluster is busy and other workers can hold the job, then after the window of failures. A shape counts as one that fits nowhere only for jobs that avoid the same workers. A reservation no longer counts on the room of jobs that never end.

--- a/src/lacewingmill/jobs/scheduler_inputs.py
+++ b/src/lacewingmill/jobs/scheduler_inputs.py
@@ -33,7 +33,8 @@
     headroom=0.25,
 )
 # The job graph counts attempts, so ``bad_job_workers`` is out of reach. A worker on which several
-# jobs fail is quarantined for a few seconds.
+# jobs fail is quarantined for a few seconds. Users count a job as lost that waits for 3 s beside
+# idle workers, so a job returns to a worker on which it failed before that.
 JOB_FAILURE_RULES = FailureRules(
     bad_job_workers=1_000_000,
     bad_worker_jobs=3,
@@ -41,6 +42,7 @@
     quarantine_s=4.0,
     max_quarantine_s=30.0,
     rack_share=0.67,
+    return_s=2.0,
 )
 
 
@@ -115,6 +117,7 @@
             submitted_at + due_after_s,
             submitted_at + HARD_DEADLINE_FACTOR * due_after_s,
         ),
+        lasting=step.lasting,
     )
 
 
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -29,21 +29,23 @@
             return
         ranked = sorted(self._state.queue.values(), key=lambda record: self._priority(record, now))
         self._refresh_reservation(ranked, now)
-        unplaceable: set[tuple[Shape, bool, bool, Needs]] = set()
+        unplaceable: set[tuple[Shape, bool, bool, Needs, frozenset[str]]] = set()
         for record in ranked:
-            avoids_suspects = self._state.avoids_suspects(record.job, now)
-            signature = (record.job.shape, record.job.evictable, avoids_suspects, record.job.needs)
+            job = record.job
+            avoids_suspects = self._state.avoids_suspects(job, now)
+            avoided = self._state.avoided_workers(job, now)
+            signature = (job.shape, job.evictable, avoids_suspects, job.needs, avoided)
             if signature in unplaceable and not self._is_reserved_for(record):
                 continue
-            if self._state.over_limit(record.job):
+            if self._state.over_limit(job):
                 record.blocked_by = "its team to use fewer accelerators than its limit"
                 continue
-            block = self._find_block(record, now)
+            block = self._find_block(record, avoided, now)
             if block is None:
                 unplaceable.add(signature)
                 record.blocked_by = "a free block of its shape"
                 continue
-            del self._state.queue[record.job.job_id]
+            del self._state.queue[job.job_id]
             self._state.start(record, block, now)
 
     def _priority(self, record: JobRecord, now: float) -> tuple[float | str, ...]:
@@ -55,28 +57,32 @@
         key = priority(self._state.rules, expected, job.shape.accelerators, waited)
         return (key, job.submitted_at, job.job_id)
 
-    def _find_block(self, record: JobRecord, now: float) -> Block | None:
-        rules = self._placement_rules(record, now)
+    def _find_block(self, record: JobRecord, avoided: frozenset[str], now: float) -> Block | None:
+        rules = self._placement_rules(record, avoided, now)
         for shape in self._state.candidate_shapes(record.job, now):
             block = find_block(self._state.cluster, shape, rules)
             if block is not None:
                 return block
         if record.job.evictable:
             return None
-        return self._find_by_moving_reservations(record, now)
+        return self._find_by_moving_reservations(record, avoided, now)
 
     def _placement_rules(
-        self, record: JobRecord, now: float, *, ignore_reservations: bool = False
+        self,
+        record: JobRecord,
+        avoided: frozenset[str],
+        now: float,
+        *,
+        ignore_reservations: bool = False,
     ) -> PlacementRules:
         job = record.job
-        avoid = self._state.failures.failed_on(job.job_id)
         expected = self._state.expected_s(job) - record.done_s
         avoids_suspects = self._state.avoids_suspects(job, now)
         keeps_headroom = self._keeps_headroom(job, expected, now)
 
         def units(worker_state: WorkerState) -> int:
             worker = worker_state.info.worker
-            if worker in avoid or not self._accepts_job(job, worker, worker_state):
+            if worker in avoided or not self._accepts_job(job, worker, worker_state):
                 return 0
             if avoids_suspects and self._state.failures.is_suspect(worker):
                 return 0
@@ -128,8 +134,10 @@
             return True
         return job.idempotent and not worker_state.gangs
 
-    def _find_by_moving_reservations(self, record: JobRecord, now: float) -> Block | None:
-        rules = self._placement_rules(record, now, ignore_reservations=True)
+    def _find_by_moving_reservations(
+        self, record: JobRecord, avoided: frozenset[str], now: float
+    ) -> Block | None:
+        rules = self._placement_rules(record, avoided, now, ignore_reservations=True)
         block = find_block(self._state.cluster, record.job.shape, rules)
         if block is not None and self._state.slot_table.make_room(record.job.shape, block):
             return block
@@ -148,13 +156,20 @@
             return
         oldest = min(starving, key=lambda record: record.job.submitted_at)
         shape = self._state.candidate_shapes(oldest.job, now)[0]
+        avoided = self._state.avoided_workers(oldest.job, now)
+
+        def units(worker_state: WorkerState) -> int:
+            if worker_state.info.worker in avoided:
+                return 0
+            return self._state.allowed_units(oldest.job, worker_state, now)
+
         self._state.reservation = plan_reservation(
             self._state.cluster,
             attrs.evolve(oldest.job, shape=shape),
             self._state.records,
             self._state.run_times,
             now,
-            lambda worker_state: self._state.allowed_units(oldest.job, worker_state, now),
+            units,
         )
 
     def _delays_reservation(self, record: JobRecord, worker: str, end: float) -> bool:
--- a/src/lacewingmill/scheduling/claims.py
+++ b/src/lacewingmill/scheduling/claims.py
@@ -50,7 +50,7 @@
     def _claim(self, record: JobRecord, slot: Slot, now: float) -> None:
         shape = slot.shape
         reserved_block = self._state.slot_table.unreserve(slot)
-        block = find_block(self._state.cluster, shape, self._claim_rules(record))
+        block = find_block(self._state.cluster, shape, self._claim_rules(record, now))
         victims: tuple[str, ...] = ()
         if block is None:
             plan = plan_reclaim(
@@ -82,14 +82,14 @@
         for victim in victims:
             self._state.evict(self._state.records[victim], record.job.job_id, now)
 
-    def _claim_rules(self, record: JobRecord) -> PlacementRules:
+    def _claim_rules(self, record: JobRecord, now: float) -> PlacementRules:
         shape = record.job.shape
         failures = self._state.failures
-        avoid = failures.failed_on(record.job.job_id)
+        avoided = self._state.avoided_workers(record.job, now)
 
         def units(worker_state: WorkerState) -> int:
             worker = worker_state.info.worker
-            if worker in avoid or failures.probing(worker):
+            if worker in avoided or failures.probing(worker):
                 return 0
             if not record.job.idempotent and failures.is_suspect(worker):
                 return 0
--- a/src/lacewingmill/scheduling/cluster.py
+++ b/src/lacewingmill/scheduling/cluster.py
@@ -70,7 +70,11 @@
 
     def capacity_units(self, shape: Shape) -> int:
         """Return how many members of a shape fit on the worker when it is empty."""
-        return self._units(shape, Resources(), Resources())
+        return self.units_beside(shape, Resources())
+
+    def units_beside(self, shape: Shape, taken: Resources) -> int:
+        """Return how many members of a shape fit on the worker beside an amount of resources."""
+        return self._units(shape, taken, Resources())
 
     def free_units(self, shape: Shape) -> int:
         """Return how many members of a shape fit beside all gangs and pending claims."""
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -169,6 +169,7 @@
     :param urgent: whether it may evict other work and counts towards its team's quota.
     :param objective: its priority and deadlines; jobs without one are ordered by their expected
         run times.
+    :param lasting: whether it runs until it is cancelled, whatever its shape's run time says.
     """
 
     job_id: str
@@ -182,6 +183,7 @@
     urgent: bool = False
     needs: Needs = Needs()
     objective: Objective | None = None
+    lasting: bool = False
 
     @property
     def evictable(self) -> bool:
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -40,10 +40,11 @@
             team = (job.service, job.team)
             needed = held.get(team, 0) + job.shape.accelerators
             guaranteed = needed <= self._state.quotas.get(team, 0)
-            signature = (job.shape, job.needs, guaranteed)
+            avoided = self._state.avoided_workers(job, now)
+            signature = (job.shape, job.needs, guaranteed, avoided)
             if signature in unplaceable:
                 continue
-            if not self._place(record, guaranteed, now):
+            if not self._place(record, avoided, guaranteed, now):
                 unplaceable.add(signature)
                 record.blocked_by = "workers that are free or hold work that it may evict"
             elif guaranteed:
@@ -59,9 +60,11 @@
                 held[team] = held.get(team, 0) + job.shape.accelerators
         return held
 
-    def _place(self, record: JobRecord, guaranteed: bool, now: float) -> bool:
+    def _place(
+        self, record: JobRecord, avoided: frozenset[str], guaranteed: bool, now: float
+    ) -> bool:
         state = self._state
-        rules = self._free_rules(record, now)
+        rules = self._free_rules(record, avoided, now)
         shapes = state.candidate_shapes(record.job, now)
         for shape in shapes:
             block = find_block(state.cluster, shape, rules)
@@ -69,7 +72,7 @@
                 self._claim_block(record, block, (), guaranteed, now)
                 return True
         for shape in shapes:
-            plan = self._plan_reclaim(record, shape, guaranteed, now)
+            plan = self._plan_reclaim(record, shape, avoided, guaranteed, now)
             if plan is not None:
                 self._claim_block(record, plan.block, plan.victims, guaranteed, now)
                 return True
@@ -104,13 +107,18 @@
             state.evict(state.records[victim], record.job.job_id, now)
 
     def _plan_reclaim(
-        self, record: JobRecord, shape: Shape, guaranteed: bool, now: float
+        self,
+        record: JobRecord,
+        shape: Shape,
+        avoided: frozenset[str],
+        guaranteed: bool,
+        now: float,
     ) -> ReclaimPlan | None:
         state = self._state
         job = record.job
         limits = ReclaimLimits(
             is_exempt=None if guaranteed else _is_urgent,
-            units=lambda worker_state: self._allowed_units(record, worker_state, now),
+            units=lambda worker_state: self._allowed_units(record, worker_state, avoided, now),
             by_cost=True,
         )
         plan = plan_reclaim(
@@ -133,20 +141,22 @@
             * accelerator_equivalent(job.shape, self._state.rules)
         )
 
-    def _free_rules(self, record: JobRecord, now: float) -> PlacementRules:
+    def _free_rules(self, record: JobRecord, avoided: frozenset[str], now: float) -> PlacementRules:
         shape = record.job.shape
 
         def units(worker_state: WorkerState) -> int:
             return min(
-                worker_state.free_units(shape), self._allowed_units(record, worker_state, now)
+                worker_state.free_units(shape),
+                self._allowed_units(record, worker_state, avoided, now),
             )
 
         return PlacementRules(units, self._state.placement_cost(record.job), by_cost=True)
 
-    def _allowed_units(self, record: JobRecord, worker_state: WorkerState, now: float) -> int:
+    def _allowed_units(
+        self, record: JobRecord, worker_state: WorkerState, avoided: frozenset[str], now: float
+    ) -> int:
         worker = worker_state.info.worker
-        failures = self._state.failures
-        if worker in failures.failed_on(record.job.job_id) or failures.probing(worker):
+        if worker in avoided or self._state.failures.probing(worker):
             return 0
         return self._state.allowed_units(record.job, worker_state, now)
 
--- a/src/lacewingmill/scheduling/reservation.py
+++ b/src/lacewingmill/scheduling/reservation.py
@@ -5,12 +5,12 @@
 import attrs
 
 from lacewingmill.models import Adjacency
-from lacewingmill.scheduling.cluster import Cluster, WorkerState
+from lacewingmill.scheduling.cluster import Cluster, Resources, WorkerState
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.records import JobRecord
 from lacewingmill.scheduling.run_times import RunTimeEstimator
 
-__all__ = ["BackfillReservation", "plan_reservation"]
+__all__ = ["BackfillReservation", "holds_when_empty", "plan_reservation"]
 
 
 @attrs.frozen
@@ -36,6 +36,8 @@
 ) -> BackfillReservation | None:
     """Return a reservation of the block that is expected to be free first, or ``None``.
 
+    Jobs that never end leave their room to nobody, so no reservation counts on it.
+
     For a job with an objective, no more workers are reserved than it needs, so that other jobs can
     use the rest of the block.
 
@@ -50,7 +52,8 @@
             for worker_state in worker_states
             if cluster.schedulable(worker_state) and units(worker_state)
         ]
-        if sum(_max_units(worker_state, job, units) for worker_state in candidates) < shape.units:
+        most = (_max_units(worker_state, job, records, units) for worker_state in candidates)
+        if sum(most) < shape.units:
             continue
         if job.objective is not None:
             candidates = _earliest_free(candidates, job, records, run_times, now, units)
@@ -61,8 +64,27 @@
     return best
 
 
-def _max_units(worker_state: WorkerState, job: Job, units: Callable[[WorkerState], int]) -> int:
-    return min(worker_state.capacity_units(job.shape), units(worker_state))
+def _max_units(
+    worker_state: WorkerState,
+    job: Job,
+    records: dict[str, JobRecord],
+    units: Callable[[WorkerState], int],
+) -> int:
+    """Return how many members a worker may take once all jobs that end have left it."""
+    return min(
+        worker_state.units_beside(job.shape, _lasting_resources(worker_state, records)),
+        units(worker_state),
+    )
+
+
+def _lasting_resources(worker_state: WorkerState, records: dict[str, JobRecord]) -> Resources:
+    """Return the resources of a worker that are held by jobs that never end."""
+    held = Resources()
+    for job_id, members in worker_state.members.items():
+        job = records[job_id].job
+        if job.lasting:
+            held.add(job.shape, members)
+    return held
 
 
 def _earliest_free(
@@ -90,17 +112,40 @@
         if missing <= 0:
             break
         chosen.append(worker_state)
-        missing -= _max_units(worker_state, job, units)
+        missing -= _max_units(worker_state, job, records, units)
     return chosen
 
 
 def _remaining_s(record: JobRecord, run_times: RunTimeEstimator, now: float) -> float:
     """Return the expected remaining run time of a job, in seconds."""
     job = record.job
+    if job.lasting:
+        return float("inf")
     elapsed = now - record.started_at + record.done_s
     return run_times.estimate_remaining(job.service, job.shape.name, job.shape.expected_s, elapsed)
 
 
+def holds_when_empty(
+    cluster: Cluster,
+    job: Job,
+    records: dict[str, JobRecord],
+    units: Callable[[WorkerState], int],
+) -> bool:
+    """Whether any block could hold a job once all jobs that end have left it.
+
+    :param units: returns the number of members that a worker may take under the constraints of the
+        job.
+    """
+    for worker_states in _candidate_groups(cluster, job):
+        missing = job.shape.units
+        for worker_state in worker_states:
+            if cluster.schedulable(worker_state):
+                missing -= _max_units(worker_state, job, records, units)
+            if missing <= 0:
+                return True
+    return False
+
+
 def _candidate_groups(cluster: Cluster, job: Job) -> list[list[WorkerState]]:
     if job.shape.adjacency is Adjacency.WORKER:
         return [[worker_state] for worker_state in cluster.workers.values()]
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -11,7 +11,7 @@
 from lacewingmill.scheduling.order import OrderRules
 from lacewingmill.scheduling.placement import PackingScorer
 from lacewingmill.scheduling.records import JobRecord, JobState
-from lacewingmill.scheduling.reservation import BackfillReservation
+from lacewingmill.scheduling.reservation import BackfillReservation, holds_when_empty
 from lacewingmill.scheduling.run_times import RunTimeEstimator
 from lacewingmill.scheduling.suspects import FailureRules, FailureTracker
 
@@ -235,6 +235,30 @@
         """Return whether a job avoids workers that have failed jobs, as it cannot be run again."""
         return not job.idempotent and not self.has_waited_long(job, now)
 
+    def avoided_workers(self, job: Job, now: float) -> frozenset[str]:
+        """Return the workers that a job may not use now because it has failed on them.
+
+        It returns to them after a short time, unless it is worth waiting for others: those must be
+        able to hold it, and the cluster must be so busy that they may not have been free yet.
+        """
+        rules = self.failures.rules
+        avoided = self.failures.failed_on(job.job_id, now - rules.window_s)
+        if not avoided:
+            return avoided
+
+        def units(worker_state: WorkerState) -> int:
+            if worker_state.info.worker in avoided:
+                return 0
+            return self.allowed_units(job, worker_state, now)
+
+        busy = 2 * self.cluster.free_accelerators < self.cluster.total_accelerators
+        if busy and any(
+            holds_when_empty(self.cluster, attrs.evolve(job, shape=shape), self.records, units)
+            for shape in self.candidate_shapes(job, now)
+        ):
+            return avoided
+        return self.failures.failed_on(job.job_id, now - rules.return_s)
+
     def placement_cost(self, job: Job) -> Callable[[WorkerState, int], float]:
         """Return the cost function of a job's placements.
 
--- a/src/lacewingmill/scheduling/suspects.py
+++ b/src/lacewingmill/scheduling/suspects.py
@@ -21,6 +21,8 @@
     :param quarantine_s: first quarantine of a worker, in seconds; doubled by each failed probe.
     :param max_quarantine_s: longest quarantine, in seconds.
     :param rack_share: largest share of a rack's workers that may be quarantined at once, 0..1.
+    :param return_s: how long a job avoids a worker on which it failed although it may find no other
+        one, in seconds; with other workers to wait for, it does so for ``window_s``.
     """
 
     bad_job_workers: int = 3
@@ -29,6 +31,7 @@
     quarantine_s: float = 30.0
     max_quarantine_s: float = 3600.0
     rack_share: float = 0.34
+    return_s: float = 30.0
 
 
 @attrs.define
@@ -63,26 +66,26 @@
     """Tracks failures by worker and job."""
 
     def __init__(self, rules: FailureRules | None = None):
-        self._rules = rules or FailureRules()
+        self.rules = rules or FailureRules()
         self._workers: dict[str, _WorkerRecord] = {}
-        self._jobs: dict[str, set[str]] = {}
+        self._jobs: dict[str, dict[str, float]] = {}
 
     def record_failure(self, job_id: str, worker: str, rack: frozenset[str], now: float) -> Verdict:
         """Record a failure of a job on a worker.
 
         :param rack: workers of the worker's rack, of which only a share may be quarantined.
         """
-        failed_on = self._jobs.setdefault(job_id, set())
-        failed_on.add(worker)
-        record = self._workers.setdefault(worker, _WorkerRecord(self._rules.quarantine_s))
-        if len(failed_on) >= self._rules.bad_job_workers:
+        failed_on = self._jobs.setdefault(job_id, {})
+        failed_on[worker] = now
+        record = self._workers.setdefault(worker, _WorkerRecord(self.rules.quarantine_s))
+        if len(failed_on) >= self.rules.bad_job_workers:
             for other in failed_on:
                 self._discard_failure(other, job_id)
             return Verdict(True, False)
         record.failures[job_id] = now
         if record.probing:
             record.probing = False
-            record.quarantine_s = min(record.quarantine_s * 2, self._rules.max_quarantine_s)
+            record.quarantine_s = min(record.quarantine_s * 2, self.rules.max_quarantine_s)
             record.quarantined_until = now + record.quarantine_s
             return Verdict(False, True)
         return Verdict(False, self._quarantine(record, rack, now))
@@ -100,9 +103,12 @@
         """Forget the failures of a job that ended without success."""
         self._jobs.pop(job_id, None)
 
-    def failed_on(self, job_id: str) -> frozenset[str]:
-        """Return the workers on which a job has failed."""
-        return frozenset(self._jobs.get(job_id, ()))
+    def failed_on(self, job_id: str, since: float) -> frozenset[str]:
+        """Return the workers on which a job has failed after a time, in seconds."""
+        failures = self._jobs.get(job_id)
+        if not failures:
+            return frozenset()
+        return frozenset(worker for worker, at in failures.items() if at > since)
 
     def quarantined(self, worker: str) -> bool:
         """Return whether a worker is quarantined."""
@@ -136,11 +142,11 @@
             record.failures.pop(job_id, None)
 
     def _quarantine(self, record: _WorkerRecord, rack: frozenset[str], now: float) -> bool:
-        recent = [at for at in record.failures.values() if now - at <= self._rules.window_s]
-        if len(recent) < self._rules.bad_worker_jobs:
+        recent = [at for at in record.failures.values() if now - at <= self.rules.window_s]
+        if len(recent) < self.rules.bad_worker_jobs:
             return False
         quarantined_count = sum(1 for worker in rack if self.quarantined(worker))
-        if (quarantined_count + 1) / max(1, len(rack)) > self._rules.rack_share:
+        if (quarantined_count + 1) / max(1, len(rack)) > self.rules.rack_share:
             return False
         record.quarantined_until = now + record.quarantine_s
         return True
