A listed end completes the steps that it depends on

What callers saw: done steps of a job ran a second time after a takeover, and the job ended as much later.

Cause: an owner that starts a step has seen the steps before it done. A new owner drew that conclusion from runs that workers list, but not from ends. Where the earlier owner couldn't store any of it, and the workers of the first steps had left since, only the end of the last step told that they were done.

Change: an end of a step that isn't ready yet completes the steps that it depends on, whatever the end; what becomes ready by it is queued or held back.

Evidence: both variants of the new test failed before (tasks of the first two steps started again), and pass now.

--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -203,6 +203,16 @@
         unit = self._registry.unit_of(ended.task)
         if unit is None:
             return None
+        graph = self._registry.graphs[unit.job_id]
+        if graph.state.final or graph.is_ready(unit):
+            return self._process_end(link, unit, ended)
+        # An earlier owner has started the step and couldn't store that the steps before were done.
+        graph.complete_dependencies(ended.task, self._clock.wall())
+        written = self._process_end(link, unit, ended)
+        self._on_job_advanced(graph)
+        return written
+
+    def _process_end(self, link: WorkerLink, unit: Unit, ended: EndedRun) -> Event | None:
         self.record_checkpoint(ended)
         active = self._active.get(unit.unit_id)
         member = active.members.get(ended.task) if active is not None else None
--- a/tests/test_takeover_hold_back.py
+++ b/tests/test_takeover_hold_back.py
@@ -131,3 +131,28 @@
     fleet.clock.advance(3.0)
     assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
     fleet.check_invariants()
+
+
+# Guards against running steps again of which only the ends of later steps are left to tell that
+# they are done.
+@pytest.mark.parametrize("spec", ["run_s=0.5", "run_s=0.5 fail=1"])
+def test_a_listed_end_shows_that_the_steps_before_it_are_done(spec):
+    fleet = PlatformFleet(executors=8)
+    steps = [step(data_rack="r0"), step(data_rack="r1", after=[0]), step(data_rack="r2", after=[1])]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=0.5", seconds=0.3)
+    fleet.kv.faults.down = True
+    fleet.clock.advance(1.0)
+    first, second, third = fleet.run_history.runs
+    third.fails = "fail" in spec
+    for entry in (first, second):
+        worker = executor_of(fleet, entry.task)
+        worker.exit()
+        fleet.operator.unregister(worker)
+    fleet.kill(fleet.owner)
+    fleet.clock.advance(0.5)
+    fleet.kv.faults.down = False
+    wait_for_owner(fleet)
+    fleet.clock.advance(12.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    tasks = [entry.task for entry in fleet.run_history.runs[3:]]
+    assert tasks == ([third.task] if third.fails else [])
