Follow each dependency of a job once

Cause: to mark the steps done that a listed run depends on, a new owner followed each way through the graph, whose number doubles with each step here. A chain of 1,000 steps ended in a RecursionError, and its job was left alone. The cost of an end grew with steps times tasks, that of storing progress with the square of the tasks.

Change: steps count what they wait for; a step that is done is looked at once, and ends the walk; progress is written by the byte; the due time of a job is computed once.

Evidence: three of the tests on the largest graphs failed before (not done within 20 s; RecursionError), and so did a takeover with 27 steps on the emulated platform.

--- a/src/lacewingmill/jobs/graph.py
+++ b/src/lacewingmill/jobs/graph.py
@@ -1,8 +1,14 @@
-"""The dependency graph of a job's steps and the progress through it; does no I/O."""
+"""The dependency graph of a job's steps and the progress through it; does no I/O.
+
+The owner handles jobs of all clients in one thread. So the cost of a call grows at most with the
+number of steps, dependencies and tasks of the job, and each dependency is followed once.
+"""
+
+from collections.abc import Iterable
 
 import attrs
 
-from lacewingmill.jobs.model import JobState, Submission, TaskId, Unit
+from lacewingmill.jobs.model import JobState, Step, Submission, TaskId, Unit
 
 __all__ = ["JobGraph", "Progress", "StepDone", "UnitFailures"]
 
@@ -62,10 +68,16 @@
         self.state = JobState.QUEUED
         self.ended_at = 0.0
         self.started = False
+        self.due_after_s = submission.due_after_s()
         self.checkpoints: dict[TaskId, str] = {}
         self._done: dict[tuple[int, int], set[int]] = {}
         self._failures: dict[Unit, set[int]] = {}
-        self._ready_steps: set[tuple[int, int]] = set()
+        self._dependents = _dependents(submission.steps)
+        # For each occurrence that has become due, and each step of it: the number of steps that it
+        # depends on and that are not done.
+        self._missing: list[list[int]] = []
+        self._ready: list[tuple[int, int]] = []
+        self._unfinished = submission.timing.occurrences * len(submission.steps)
         self._observed_steps: set[tuple[int, int]] = set()
 
     def restore(self, progress: Progress) -> None:
@@ -73,9 +85,8 @@
         self.state = progress.state
         self.ended_at = progress.ended_at
         for step_done in progress.done:
-            bits = int.from_bytes(step_done.bitmap, "little")
-            indexes = {index for index in range(bits.bit_length()) if bits >> index & 1}
-            self._done[(step_done.occurrence, step_done.step)] = indexes
+            key = (step_done.occurrence, step_done.step)
+            self._add_done(key, _bitmap_indexes(step_done.bitmap))
         for failures in progress.failures:
             unit = self.unit_of(
                 TaskId(self.submission.job_id, failures.occurrence, failures.step, failures.index)
@@ -89,9 +100,7 @@
             return Progress(self.state, ended_at=self.ended_at)
         done = []
         for (occurrence, step), indexes in self._done.items():
-            bits = sum(1 << index for index in indexes)
-            bitmap = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
-            done.append(StepDone(occurrence, step, bitmap))
+            done.append(StepDone(occurrence, step, _bitmap(indexes)))
         failures = [
             UnitFailures(unit.occurrence, unit.step, unit.indexes[0], tuple(sorted(runs)))
             for unit, runs in self._failures.items()
@@ -105,13 +114,13 @@
         """
         if self.state.final:
             return []
-        units: list[Unit] = []
-        for occurrence in range(self.submission.timing.occurrences):
-            if self.submission.timing.starts_at(occurrence) > wall:
+        timing = self.submission.timing
+        while len(self._missing) < timing.occurrences:
+            if timing.starts_at(len(self._missing)) > wall:
                 break
-            for number in range(len(self.submission.steps)):
-                units.extend(self._take_ready_step(occurrence, number))
-        return units
+            self._begin_occurrence()
+        ready, self._ready = sorted(self._ready), []
+        return [unit for key in ready for unit in self._units_to_start(*key)]
 
     def unit_of(self, task: TaskId) -> Unit:
         """Return the unit that holds a task."""
@@ -137,9 +146,9 @@
         if self.state.final:
             return
         self.started = True
-        self._done.setdefault((unit.occurrence, unit.step), set()).update(unit.indexes)
+        self._add_done((unit.occurrence, unit.step), unit.indexes)
         self._failures.pop(unit, None)
-        if self._all_done():
+        if not self._unfinished:
             self._end(JobState.COMPLETED, wall)
 
     def complete_dependencies(self, task: TaskId, wall: float) -> None:
@@ -148,11 +157,22 @@
         An owner starts a task only after those steps have ended, but it may have crashed before it
         stored that.
         """
-        for number in self.submission.steps[task.step].after:
-            dependency = TaskId(task.job_id, task.occurrence, number, 0)
-            self.complete_dependencies(dependency, wall)
-            for index in range(self.submission.steps[number].count):
-                self.mark_done(self.unit_of(attrs.evolve(dependency, index=index)), wall)
+        if self.state.final:
+            return
+        steps = self.submission.steps
+        seen = set(steps[task.step].after)
+        remaining = list(seen)
+        while remaining:
+            number = remaining.pop()
+            key = (task.occurrence, number)
+            if self._step_done(key):
+                continue  # and so are the steps that it depends on
+            self._complete_step(key)
+            new = set(steps[number].after) - seen
+            seen |= new
+            remaining.extend(new)
+        if not self._unfinished:
+            self._end(JobState.COMPLETED, wall)
 
     def record_observed(self, unit: Unit) -> None:
         """Record that this owner has seen a unit run, or has ordered its start."""
@@ -168,7 +188,9 @@
 
     def is_ready(self, unit: Unit) -> bool:
         """Whether the unit's step has become ready, as far as this owner knows."""
-        return (unit.occurrence, unit.step) in self._ready_steps
+        if unit.occurrence >= len(self._missing):
+            return False
+        return not self._missing[unit.occurrence][unit.step]
 
     def record_failure(self, unit: Unit, run: int, wall: float) -> None:
         """Record that a run of a unit failed; the job fails when its attempts are used up.
@@ -188,13 +210,19 @@
         if not self.state.final:
             self._end(JobState.CANCELLED, wall)
 
-    def _take_ready_step(self, occurrence: int, number: int) -> list[Unit]:
-        key = (occurrence, number)
+    def _begin_occurrence(self) -> None:
+        """Add the next occurrence, which has become due; some of its steps may be ready."""
+        number = len(self._missing)
+        steps = self.submission.steps
+        unfinished = {step for step in range(len(steps)) if not self._step_done((number, step))}
+        missing = [len(unfinished.intersection(step.after)) for step in steps]
+        self._missing.append(missing)
+        self._ready.extend((number, step) for step, count in enumerate(missing) if not count)
+
+    def _units_to_start(self, occurrence: int, number: int) -> list[Unit]:
+        """Return the units of a step that are not done."""
         step = self.submission.steps[number]
-        if key in self._ready_steps or not all(self._step_done(occurrence, n) for n in step.after):
-            return []
-        self._ready_steps.add(key)
-        done = self._done.get(key, set())
+        done = self._done.get((occurrence, number), set())
         first_tasks = range(1) if step.gang else range(step.count)
         return [
             self.unit_of(TaskId(self.submission.job_id, occurrence, number, index))
@@ -202,17 +230,60 @@
             if index not in done
         ]
 
-    def _step_done(self, occurrence: int, number: int) -> bool:
-        done = self._done.get((occurrence, number), set())
-        return len(done) == self.submission.steps[number].count
+    def _complete_step(self, key: tuple[int, int]) -> None:
+        self.started = True
+        self._add_done(key, range(self.submission.steps[key[1]].count))
+        failed = [unit for unit in self._failures if (unit.occurrence, unit.step) == key]
+        for unit in failed:
+            del self._failures[unit]
+
+    def _add_done(self, key: tuple[int, int], indexes: Iterable[int]) -> None:
+        """Record tasks as done; the last one of a step may make other steps ready."""
+        if self._step_done(key):
+            return
+        self._done.setdefault(key, set()).update(indexes)
+        if not self._step_done(key):
+            return
+        self._unfinished -= 1
+        number, step = key
+        if number >= len(self._missing):
+            return
+        missing = self._missing[number]
+        for dependent in self._dependents[step]:
+            missing[dependent] -= 1
+            if not missing[dependent]:
+                self._ready.append((number, dependent))
 
-    def _all_done(self) -> bool:
-        return all(
-            self._step_done(occurrence, number)
-            for occurrence in range(self.submission.timing.occurrences)
-            for number in range(len(self.submission.steps))
-        )
+    def _step_done(self, key: tuple[int, int]) -> bool:
+        return len(self._done.get(key, ())) == self.submission.steps[key[1]].count
 
     def _end(self, state: JobState, wall: float) -> None:
         self.state = state
         self.ended_at = wall
+
+
+def _dependents(steps: tuple[Step, ...]) -> list[list[int]]:
+    """Return for each step the steps that depend on it."""
+    dependents: list[list[int]] = [[] for _ in steps]
+    for number, step in enumerate(steps):
+        for earlier in set(step.after):
+            dependents[earlier].append(number)
+    return dependents
+
+
+def _bitmap(indexes: set[int]) -> bytes:
+    """Return a little-endian bitmap of task indexes."""
+    bitmap = bytearray(max(indexes, default=-1) // 8 + 1)
+    for index in indexes:
+        bitmap[index // 8] |= 1 << index % 8
+    return bytes(bitmap)
+
+
+def _bitmap_indexes(bitmap: bytes) -> list[int]:
+    """Return the task indexes of a little-endian bitmap."""
+    return [
+        8 * position + bit
+        for position, byte in enumerate(bitmap)
+        for bit in range(8)
+        if byte >> bit & 1
+    ]
--- a/src/lacewingmill/jobs/scheduler_inputs.py
+++ b/src/lacewingmill/jobs/scheduler_inputs.py
@@ -93,7 +93,7 @@
     now = clock.now()
     available_at = submission.timing.starts_at(unit.occurrence) or submission.accepted_at
     submitted_at = now + min(0.0, available_at - clock.wall())
-    due_after_s = submission.due_after_s()
+    due_after_s = graph.due_after_s
     return Job(
         unit.unit_id,
         submission.service,
