Adopt the members of gangs that a new owner finds late

Cause: a member of a gang whose worker answered a new owner late was stopped as a run that nobody needs, with one order, and nothing waited for its end. The answer of the last silent worker ends the hold-back, so the gang was started on other workers within half a second, while stops may take 0.9 s there. The same held for members found while their gang was being stopped.

Change: a late run is adopted if its unit is held back or queued; members join their gang as they are found, and a gang that is being stopped waits for their ends. The scheduler is told of the room that a member found late takes.

Evidence: on the emulated platform, with stops that take 0.9 s, a gang whose workers are cut off for a second during a takeover ran twice (two variants); now it runs on. A member found late was given no room before.

--- a/src/lacewingmill/jobs/takeover.py
+++ b/src/lacewingmill/jobs/takeover.py
@@ -53,6 +53,7 @@
         self._listed_runs: dict[str, ListedRuns] = {}
         self._held_back: dict[str, Unit] = {}
         self._released = False
+        self._unconfirmed_until = 0.0
 
     def record_run(self, link: WorkerLink, listed: ListedRun) -> None:
         """Record a run that a worker lists before planning begins."""
@@ -71,6 +72,7 @@
         """
         self._planner.flush()
         self._released = not unconfirmed_until
+        self._unconfirmed_until = unconfirmed_until
         for graph in self._registry.graphs.values():
             earlier = graph.revision < self._fence
             with contain_errors(self._log, job=graph.submission.job_id):
@@ -93,24 +95,27 @@
     def release(self) -> list[Unit]:
         """Return the held-back units, once no silent worker can run a task of an earlier owner."""
         self._released = True
+        self._unconfirmed_until = 0.0
         units, self._held_back = list(self._held_back.values()), {}
         return units
 
     def adopt_late(self, link: WorkerLink, listed: ListedRun) -> bool:
-        """Adopt a run that is listed after recovery, if its unit was held back.
+        """Adopt a run that is listed after recovery, if its unit waits to be started.
 
-        :return: whether the run was adopted; never for a member of a gang.
+        The other members of a gang may be listed later; see :meth:`UnitRunner.adopt_member`.
+
+        :return: whether the run was adopted.
         """
         unit = self._registry.unit_of(listed.task)
         if unit is None or not self._registry.needs_run(unit):
             return False
-        self._hold_back_started_step(unit, listed)
-        if len(unit.indexes) > 1:
+        if self._runner.find(listed.task) is not None:
             return False
+        self._hold_back_started_step(unit, listed)
         if self._held_back.pop(unit.unit_id, None) is None:
-            return False
+            self._planner.withdraw_unit(self._registry.graphs[unit.job_id], unit)
         self._planner.flush()
-        self._adopt_unit(unit, {listed.task: (link, listed)}, 0.0)
+        self._adopt_unit(unit, {listed.task: (link, listed)}, self._unconfirmed_until)
         return True
 
     def _hold_back_started_step(self, unit: Unit, listed: ListedRun) -> None:
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -95,6 +95,10 @@
             if unit_id.startswith(prefix) and unit_id not in active:
                 self.feed(service, JobCancelled(unit_id))
 
+    def withdraw_unit(self, graph: JobGraph, unit: Unit) -> None:
+        """Remove a unit, waiting or running."""
+        self.feed(graph.submission.service, JobCancelled(unit.unit_id))
+
     def plan(self) -> None:
         """Apply all queued events, plan once per service and execute the actions.
 
@@ -140,6 +144,12 @@
         ):
             self._execute(action)
 
+    def update_adopted(self, active: ActiveUnit) -> None:
+        """Replace the placement of a running unit, of which another member was found."""
+        self.withdraw_unit(active.graph, active.unit)
+        self.flush()
+        self.adopt(active)
+
     def _queue_quota_changes(self) -> None:
         table = self._table()
         if table is None or table.version == self._table_version:
--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -51,6 +51,8 @@
     CloseReason.FINISHED,
     CloseReason.TICKET_REFUSED,
 )
+# The members of a gang that is done or has failed end by themselves.
+SELF_ENDING_REASONS = (CloseReason.FINISHED, CloseReason.FAILED)
 
 
 class UnitRunner:
@@ -179,12 +181,12 @@
     def adopt_member(self, link: WorkerLink, listed: ListedRun) -> bool:
         """Add a missing member of an adopted gang, once its worker answers and lists it.
 
+        If the gang is being stopped, so is the member, and the gang waits for its end.
+
         :return: whether the member was added.
         """
         active = self.find(listed.task)
-        if active is None or active.close_reason is not None or active.run != listed.run:
-            return False
-        if not active.unconfirmed_until:
+        if active is None or active.run != listed.run or listed.task in active.members:
             return False
         now = self._clock.now()
         member = Member(listed.task, listed.run, link.worker, MemberState.RUNNING, now)
@@ -192,6 +194,10 @@
         link.add_member(member)
         if len(active.members) == len(active.unit.indexes):
             active.unconfirmed_until = 0.0
+        if active.close_reason is None:
+            self._planner.update_adopted(active)
+        elif active.close_reason not in SELF_ENDING_REASONS:
+            self._stop_member(member)
         return True
 
     def handle_end(self, link: WorkerLink, ended: EndedRun) -> Event | None:
@@ -245,8 +251,7 @@
                 reason if active.close_reason is not CloseReason.FINISHED else CloseReason.FINISHED
             )
             active.responsible_worker = responsible_worker or active.responsible_worker
-        # If a gang is done or has failed, its members end by themselves.
-        if first and reason not in (CloseReason.FINISHED, CloseReason.FAILED):
+        if first and reason not in SELF_ENDING_REASONS:
             for member in active.members.values():
                 self._stop_member(member)
         self._release_if_gone(active)
@@ -330,7 +335,7 @@
         if active is not None:
             self.close(active, CloseReason.CANCELLED, "")
         else:
-            self._planner.feed(graph.submission.service, JobCancelled(unit.unit_id))
+            self._planner.withdraw_unit(graph, unit)
 
     def _handle_failure(
         self, link: WorkerLink, unit: Unit, run: int, active: ActiveUnit | None
--- a/tests/test_takeover_hold_back.py
+++ b/tests/test_takeover_hold_back.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from standins.platform import executors
 from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
@@ -159,3 +160,91 @@
     assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
     tasks = [entry.task for entry in fleet.run_history.runs[3:]]
     assert tasks == ([third.task] if third.fails else [])
+
+
+@pytest.fixture
+def slow_stops(monkeypatch):
+    """Let workers take as long for a stop as the platform allows them to, 0.9 s."""
+    monkeypatch.setattr(executors, "STOP_DURATION_S", 0.9)
+    monkeypatch.setattr(executors, "DISTINCT_STOP_TIMES", 1)
+
+
+def start_gang(fleet, members, run_s=12):
+    """Start a gang that takes whole workers, and return its workers."""
+    gang = [step(count=members, gpu=8, gang=True)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, f"run_s={run_s}", seconds=1.0)
+    assert len(fleet.run_history.runs) == members
+    return [executor_of(fleet, entry.task) for entry in fleet.run_history.runs]
+
+
+def outcomes(fleet):
+    return [entry.outcome for entry in fleet.run_history.runs]
+
+
+# Guards against a gang that runs twice: its workers answer a new owner late, their runs are
+# stopped, and the gang is started on other workers before those stops have taken effect.
+@pytest.mark.parametrize("delays_s", [(1.0, 1.0), (0.5, 2.0)])
+def test_a_gang_whose_workers_answer_a_new_owner_late_continues(slow_stops, delays_s):
+    fleet = PlatformFleet(vms=3, executors=8)
+    workers = start_gang(fleet, 2)
+    cut_off(fleet, *workers)
+    replace_owner(fleet)
+    for worker, delay_s in zip(workers, delays_s, strict=True):
+        fleet.clock.advance(delay_s)
+        reconnect(fleet, worker)
+    fleet.clock.advance(15.0)
+    fleet.check_invariants()
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    assert outcomes(fleet) == ["done", "done"]
+
+
+# Guards against the same while the orders to stop the late runs are lost.
+def test_a_gang_starts_again_only_once_its_late_members_have_ended(slow_stops):
+    fleet = PlatformFleet(vms=3, executors=8)
+    first, second, third = start_gang(fleet, 3)
+    cut_off(fleet, second, third)
+    replace_owner(fleet)
+    first.crash()
+    fleet.operator.register(first)
+    fleet.clock.advance(1.0)
+    for worker in (second, third):
+        fleet.network.lost_orders.add(worker.name)
+        reconnect(fleet, worker)
+    fleet.clock.advance(12.0)
+    fleet.network.lost_orders.clear()
+    fleet.clock.advance(25.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_invariants()
+
+
+# Guards against a gang that waits for good because only some of its members had been started.
+def test_a_gang_that_was_started_in_part_runs_once_its_workers_answer(slow_stops):
+    fleet = PlatformFleet(vms=3, executors=8)
+    orders_lost_at = fleet.executors[1]
+    fleet.network.lost_orders.add(orders_lost_at.name)
+    gang = [step(count=2, gpu=8, gang=True, data_rack="r0")]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=2", seconds=0.3)
+    [started] = fleet.run_history.runs
+    cut_off(fleet, orders_lost_at, executor_of(fleet, started.task))
+    replace_owner(fleet)
+    fleet.network.lost_orders.clear()
+    fleet.clock.advance(1.0)
+    fleet.network.cut = set()
+    fleet.clock.advance(20.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_invariants()
+
+
+# Guards against starting other work in the room of a member that was found late.
+def test_the_room_of_a_member_that_was_found_late_is_taken():
+    fleet = PlatformFleet(vms=3)
+    workers = start_gang(fleet, 2)
+    cut_off(fleet, workers[1])
+    replace_owner(fleet)
+    fleet.clock.advance(1.0)
+    fleet.network.cut = set()
+    fleet.clock.advance(4.0)
+    before = fleet.network.call_counts["/run-start"]
+    more = [step(count=4, gpu=8)]
+    run(fleet, fleet.submit, fleet.owner, "ordinary", job_id(2), more, "run_s=1", seconds=0.5)
+    assert fleet.network.call_counts["/run-start"] == before + 2
