Send the number of an acknowledged end only until it is answered

What callers saw: nothing yet; on the emulated platform a task ran again after its end had been acknowledged (TWICE).

Cause: each poll repeated the highest acknowledged number. A worker that starts again under its id numbers its ends anew, and the first poll after that told it to forget ends that the owner had not seen.

Change: a number is sent until a poll with it is answered, and not again.

Evidence: the new test failed before (the task ran twice), and passes now; tests of workers, recovery and crashes: 71 passed.

--- a/src/lacewingmill/jobs/end_acks.py
+++ b/src/lacewingmill/jobs/end_acks.py
@@ -40,6 +40,15 @@
         """Whether the worker keeps ends that it has not been told to forget yet."""
         return self.acked != self.sent or bool(self._unstored)
 
+    @property
+    def to_send(self) -> int:
+        """The highest number to acknowledge to the worker; 0 when there is nothing new.
+
+        A number is not sent again, because the worker may have started again unnoticed, and the
+        same number may then stand for an end that was never listed.
+        """
+        return self.acked if self.acked > self.sent else 0
+
     @property
     def unstored(self) -> bool:
         """Whether the effect of some listed ends is not in the store yet."""
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -271,7 +271,7 @@
         # late, and the leases on a silent worker must expire.
         until = self._lease.extend() if self.opened and self._failures == 0 else 0.0
         sent_at = self._clock.now()
-        acked = self._acks.acked if self._failures == 0 else 0
+        acked = self._acks.to_send if self._failures == 0 else 0
         order = HoldOrder(self._owner_lease.fence, acked, until, wait_s)
         hurried = not self.opened and self._failures < FIRST_POLLS
         margin_s = min(LONG_POLL_MARGIN_S * (1 + self._failures), MAX_POLL_MARGIN_S)
@@ -290,7 +290,7 @@
             self._handle_poll_failure()
             return
         if not self._stopped:
-            self._acks.sent = acked
+            self._acks.sent = max(self._acks.sent, acked)
             self._apply_report(report, sent_at)
 
     def _handle_poll_failure(self) -> None:
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -260,3 +260,19 @@
     fleet.clock.advance(12.0)
     runs = [entry for entry in fleet.run_history.runs if entry.task.startswith(job_id(1))]
     assert [entry.outcome for entry in runs] == ["done"]
+
+
+# Guards against telling a worker that has started again to forget the end of a run that the owner
+# has not seen: its numbers of ends begin anew.
+def test_an_end_listed_after_an_unnoticed_restart_is_not_acknowledged_unseen():
+    fleet = PlatformFleet(vms=1, executors=1)
+    wait_for_owner(fleet)
+    steps = [step(count=4)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=0.2", seconds=4.0)
+    fleet.executors[0].crash()
+    fleet.operator.register(fleet.executors[0])
+    fleet.clock.advance(1.0)
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(2), [step()], "run_s=0", seconds=4.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(2)) == "completed"
+    assert len(fleet.run_history.runs) == 5
+    fleet.check_invariants()
