Wait for the ends that a worker lists later

Cause: a worker lists 500 ends at a time. A run that was in neither list was taken for gone, by the owner in office and by a new one.

Change: a list of 500 ends counts as truncated. No run is given up by it, and a new owner counts a worker as heard with the first list that isn't truncated.

--- a/src/lacewingmill/jobs/ports.py
+++ b/src/lacewingmill/jobs/ports.py
@@ -250,12 +250,14 @@
 
     :param clock_s: time on the worker's clock, in seconds.
     :param ended: ends that the worker has not discarded, in the order of their numbers.
+    :param truncated: whether there may be further ends, which are listed once these are discarded.
     """
 
     clock_s: float
     incarnation: int
     running: tuple[ListedRun, ...]
     ended: tuple[EndedRun, ...]
+    truncated: bool = False
 
 
 @attrs.frozen
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -1,5 +1,6 @@
 """The owner's link to one worker: sends orders, extends leases and polls its lists of runs."""
 
+import attrs
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
@@ -61,9 +62,10 @@
     """The link to one worker during one lease of the owner.
 
     ``members`` holds the members of units that may run on the worker, and ``orphans`` the runs that
-    belong to no unit and are being stopped. ``opened`` is set while the worker has answered this
-    owner and is not lost, ``silent`` while it does not answer or is unhealthy, and ``listed`` while
-    it is registered in the store. ``reported_at`` is the time of its latest report, in seconds.
+    belong to no unit and are being stopped. ``opened`` is set while the worker has told this owner
+    all that it runs and is not lost, ``silent`` while it does not answer or is unhealthy, and
+    ``listed`` while it is registered in the store. ``reported_at`` is the time of its latest
+    report, in seconds.
 
     :param entry: registration of the worker; replaced when it changes.
     :param listener: receives the events of the link.
@@ -99,6 +101,7 @@
         self._failures = 0
         self._unhealthy_until = 0.0
         self._poll_requested = False
+        self._partly_heard = False
         self._loop = spawn_with_callback(self._run, listener.on_failed)
 
     @property
@@ -269,7 +272,8 @@
         self._poll_requested = False
         # After a failure, leases are not extended: an extension without an answer may take effect
         # late, and the leases on a silent worker must expire.
-        until = self._lease.extend() if self.opened and self._failures == 0 else 0.0
+        heard = self.opened or self._partly_heard
+        until = self._lease.extend() if heard and self._failures == 0 else 0.0
         sent_at = self._clock.now()
         acked = self._acks.to_send if self._failures == 0 else 0
         order = HoldOrder(self._owner_lease.fence, acked, until, wait_s)
@@ -322,13 +326,15 @@
         if report.incarnation != self._incarnation:
             self._handle_restart(report.incarnation)
         new_ends = tuple(ended for ended in report.ended if ended.number > self._acks.seen)
-        report = HoldReport(report.clock_s, report.incarnation, report.running, new_ends)
-        if not self.opened:
+        report = attrs.evolve(report, ended=new_ends)
+        self._partly_heard = report.truncated
+        if not self.opened and not report.truncated:
             self.opened = True
             self.silent = False
             self._listener.on_worker_joined(self, report)
         pending = self._listener.on_worker_reported(self, report)
-        self._remove_missing(report, sent_at)
+        if not report.truncated:  # otherwise the end of a missing run may not be listed yet
+            self._remove_missing(report, sent_at)
         if self.silent and self._clock.now() >= self._unhealthy_until:
             self.silent = False
             self._listener.on_worker_answered(self)
@@ -394,6 +400,7 @@
             self._declare_lost()
 
     def _declare_lost(self) -> None:
+        self._partly_heard = False
         self._remove_all_members()
         if self.opened:
             self.opened = False
--- a/src/lacewingmill/platform/orders.py
+++ b/src/lacewingmill/platform/orders.py
@@ -31,6 +31,7 @@
 
 EXPECT_WORKER_HEADER = "X-Expect-Instance"
 STATUS_OTHER_WORKER = 421
+MAX_LISTED_ENDS = 500  # ends that a worker lists at a time
 RUNNING_FIELDS_USED = 4  # of an entry of ``running``; the fifth, the load, is not used
 RunningRow = tuple[str, Number, str | None, Amount]  # task, run, checkpoint, percent done
 EndedRow = tuple[Number, str, Number, str, str | None]  # number, task, run, end, checkpoint
@@ -198,4 +199,5 @@
         lists.born or entry.incarnation,
         tuple(running),
         tuple(ended),
+        truncated=len(ended) >= MAX_LISTED_ENDS,
     )
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -20,6 +20,7 @@
 CHECKPOINT_RESTORE_S = 0.6
 CHECKPOINT_INTERVAL_S = 2.0
 MAX_POLL_WAIT_S = 2.0
+MAX_LISTED_ENDS = 500
 
 
 @attrs.define(eq=False)
@@ -315,7 +316,7 @@
             ],
             ended=[
                 [number, run.task, run.number, run.outcome, run.checkpoint]
-                for number, run in self._ended
+                for number, run in self._ended[:MAX_LISTED_ENDS]
             ],
         )
 
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -276,3 +276,24 @@
     assert run(fleet, fleet.state, "vm0", "ordinary", job_id(2)) == "completed"
     assert len(fleet.run_history.runs) == 5
     fleet.check_invariants()
+
+
+# Guards against running tasks again whose ends a worker has not listed yet: it lists 500 at a time,
+# and the next ones only once the store holds the effect of those.
+@pytest.mark.parametrize("owner_crashes", [False, True])
+def test_ends_that_a_worker_lists_later_are_waited_for(owner_crashes):
+    fleet = PlatformFleet(vms=3, executors=1)
+    wait_for_owner(fleet)
+    steps = [step(count=620, gpu=0, cpu=50, mem_mb=100)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=6", seconds=4.0)
+    assert len(fleet.run_history.runs) == 620
+    fleet.kv.faults.down = True
+    if owner_crashes:
+        fleet.clock.advance(1.5)
+        fleet.kill(fleet.owner)
+    fleet.clock.advance(3.0)
+    fleet.kv.faults.down = False
+    fleet.clock.advance(12.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_invariants()
+    assert len(fleet.run_history.runs) == 620
