Ask the advice service about workers that join while units wait

Cause: the workers that may run a unit were fixed in its needs when it was queued. Neither the scheduler, which queues a unit again by itself, nor the director read them again, and the service was never asked about workers that joined later. Units without an allowed worker asked about all of them each second.

While units with such a set wait, the service is asked about the workers that it was not asked about, and the needs of their step change with the answer.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -109,6 +109,7 @@
         self._stopped = False
         # The advice service accepts one call at a time from a VM.
         self._advice_lock = BoundedSemaphore(1)
+        self._asking: set[str] = set()
         self._greenlets: list[gevent.Greenlet] = []
         self.owner_lease = owner_lease
         self.recovered = False
@@ -383,6 +384,27 @@
         else:
             self._deferred[unit.unit_id] = unit
 
+    def _ask_about_new_workers(self) -> None:
+        """Ask the advice service about workers that have joined since units began to wait."""
+        for unit_id in self._planner.waiting_for_allowed_workers():
+            unit = self.registry.unit_by_id(unit_id)
+            if unit is None:
+                continue
+            graph = self.registry.graphs[unit.job_id]
+            workers = self.pool.listed_workers(graph.submission.service)
+            if unit_id not in self._asking and self._advice.unasked(unit, workers):
+                self._asking.add(unit_id)
+                gevent.spawn(self._update_allowed_workers, graph, unit)
+
+    def _update_allowed_workers(self, graph: JobGraph, unit: Unit) -> None:
+        with self._advice_lock, contain_errors(self._log, unit=unit.unit_id):
+            before = self._advice.allowed_workers(unit)
+            self._advice.fetch(unit, self.pool.listed_workers(graph.submission.service))
+            allowed = self._advice.allowed_workers(unit)
+            if allowed != before and not self._stopped:
+                self._planner.allow_workers(graph, unit, allowed)
+        self._asking.discard(unit.unit_id)
+
     def _end_job(self, graph: JobGraph) -> Event:
         """Store a job's final state, stop its units and withdraw those that wait.
 
@@ -412,6 +434,7 @@
             if self._clock.now() - retried_at > DEFERRED_RETRY_S:
                 retried_at = self._clock.now()
                 self._retry_deferred()
+                self._ask_about_new_workers()
             self._planner.wake.set()
 
     def _retry_deferred(self) -> None:
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -16,6 +16,7 @@
     GangRecovered,
     JobCancelled,
     JobSubmitted,
+    NeedsChanged,
     Placement,
     RunningGang,
 )
@@ -99,6 +100,20 @@
         """Remove a unit, waiting or running."""
         self.feed(graph.submission.service, JobCancelled(unit.unit_id))
 
+    def waiting_for_allowed_workers(self) -> list[str]:
+        """Return the ids of the units that wait and may run on some workers only, one a step."""
+        units = {}
+        for scheduler in self._schedulers.values():
+            for unit_id, job in scheduler.queued_jobs():
+                if job.needs.only is not None:
+                    units[job.needs.group] = unit_id
+        return list(units.values())
+
+    def allow_workers(self, graph: JobGraph, unit: Unit, workers: frozenset[str]) -> None:
+        """Replace the workers that may run the units of a step."""
+        job = unit_job(graph, unit, self._clock, workers)
+        self.feed(graph.submission.service, NeedsChanged(job.needs))
+
     def plan(self) -> None:
         """Apply all queued events, plan once per service and execute the actions.
 
--- a/src/lacewingmill/jobs/worker_pool.py
+++ b/src/lacewingmill/jobs/worker_pool.py
@@ -57,9 +57,9 @@
         """Return the link to a worker; ``None`` for an unknown one."""
         return self._links.get(worker)
 
-    def listed_workers(self, service: str) -> list[str]:
-        """Return the ids of the workers of a service that are registered in the store."""
-        return [link.worker for link in self if link.listed and link.entry.service == service]
+    def listed_workers(self, service: str) -> list[WorkerEntry]:
+        """Return the registrations of the workers of a service."""
+        return [link.entry for link in self if link.listed and link.entry.service == service]
 
     def unopened(self) -> list[WorkerLink]:
         """Return the links whose worker has not answered this owner, or is lost."""
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -24,6 +24,7 @@
     "JobSubmitted",
     "Member",
     "Needs",
+    "NeedsChanged",
     "Objective",
     "Placement",
     "RefuseJob",
@@ -200,6 +201,13 @@
     """Base class of events."""
 
 
+@attrs.frozen
+class NeedsChanged(Event):
+    """The placement constraints of all jobs of a group have changed; running ones stay."""
+
+    needs: Needs
+
+
 @attrs.frozen
 class JobSubmitted(Event):
     """A job was submitted."""
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from functools import singledispatchmethod
 
+import attrs
+
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.borrowing import BorrowPlanner
 from lacewingmill.scheduling.claims import ClaimPlanner
@@ -28,6 +30,7 @@
     JobFailed,
     JobFinished,
     JobSubmitted,
+    NeedsChanged,
     RefuseJob,
     StopGang,
     Tick,
@@ -137,6 +140,10 @@
         """The workers that are about to leave; their gangs keep running."""
         return frozenset(self._state.leaving)
 
+    def queued_jobs(self) -> list[tuple[str, Job]]:
+        """Return the queued jobs with their ids."""
+        return [(job_id, record.job) for job_id, record in self._state.queue.items()]
+
     @property
     def queued(self) -> int:
         """The number of queued jobs."""
@@ -165,6 +172,12 @@
         self._state.records[job.job_id] = record
         self._state.queue[job.job_id] = record
 
+    @_apply.register
+    def _(self, event: NeedsChanged, now: float) -> None:
+        for record in self._state.records.values():
+            if record.job.needs.group == event.needs.group:
+                record.job = attrs.evolve(record.job, needs=event.needs)
+
     @_apply.register
     def _(self, event: JobCancelled, now: float) -> None:
         record = self._state.records.get(event.job_id)
