Count claims that wait for evictions towards the limit per worker

Cause: only members that hold room were counted. Urgent units that wait for the eviction of other work hold none yet.

Change: their claims count as well.

--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -314,4 +314,11 @@
             for job_id, units in worker_state.members.items()
             if self.records[job_id].job.needs.group == needs.group
         )
-        return max(0, needs.max_per_worker - present)
+        claimed = sum(
+            part.units
+            for record in self.pending_claims.values()
+            if record.job.needs.group == needs.group and record.job.job_id != job.job_id
+            for part in record.block
+            if part.worker == worker_state.info.worker
+        )
+        return max(0, needs.max_per_worker - present - claimed)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -245,3 +245,16 @@
     cell.now = 3.0
     cell.handle_event(Tick())
     assert "near" in cell.started
+
+
+# Guards against more members of a step on one worker than it allows, while urgent units of the step
+# wait there for the eviction of other work.
+def test_claims_that_wait_for_evictions_count_towards_the_limit_per_worker():
+    cell = SimulatedCell(workers=2, quotas=(("urgent", 16),))
+    for number in range(2):
+        cell.submit(f"low{number}", accelerators=8)
+    for number in range(4):
+        cell.submit(f"u{number}", team="urgent", urgent=True, group="step", max_per_worker=1)
+    records = cell.scheduler.records
+    claimed = [part.worker for number in range(4) for part in records[f"u{number}"].block]
+    assert sorted(claimed) == ["w0", "w1"]
