--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -109,7 +109,7 @@
         self._stopped = False
         # The advice service accepts one call at a time from a VM.
         self._advice_lock = BoundedSemaphore(1)
-        self._asking: set[str] = set()
+        self._asking: set[str] = set()  # units about whose step the service is being asked
         self._greenlets: list[gevent.Greenlet] = []
         self.owner_lease = owner_lease
         self.recovered = False
