--- a/src/lacewingmill/jobs/silent_workers.py
+++ b/src/lacewingmill/jobs/silent_workers.py
@@ -42,9 +42,9 @@
         self._clock = clock
         self._log = log
         self._running: frozenset[str] = frozenset()
-        self._listed_at = float("-inf")
-        self._requested_at = float("-inf")
-        self._logged: dict[str, float] = {}
+        self._listed_at = float("-inf")  # when the list that holds was requested
+        self._requested_at = float("-inf")  # when a list was last requested, usable or not
+        self._logged: dict[str, float] = {}  # time of the last answer of workers that have exited
 
     def may_be_running(self, links: list[WorkerLink]) -> list[WorkerLink]:
         """Return the links whose worker has not answered and may still run tasks."""
