--- a/tests/test_takeover_hold_back.py
+++ b/tests/test_takeover_hold_back.py
@@ -248,3 +248,24 @@
     more = [step(count=4, gpu=8)]
     run(fleet, fleet.submit, fleet.owner, "ordinary", job_id(2), more, "run_s=1", seconds=0.5)
     assert fleet.network.call_counts["/run-start"] == before + 2
+
+
+# Guards against stopping a run that is found while its unit waits in the queue, and starting the
+# unit before that run has ended.
+def test_a_run_that_is_found_while_its_unit_is_queued_continues(slow_stops):
+    fleet = PlatformFleet(vms=3)
+    [worker] = start_gang(fleet, 1)
+    rows = [{"id": executor.name} for executor in fleet.executors if executor is not worker]
+    fleet.network.list_machines = lambda path: (200, {"machines": rows})
+    fleet.operator.unregister(worker)
+    cut_off(fleet, worker)
+    others = [step(count=3, gpu=8)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(2), others, "run_s=5", seconds=0.2)
+    replace_owner(fleet)
+    fleet.clock.advance(1.0)
+    reconnect(fleet, worker)
+    fleet.operator.register(worker)
+    fleet.clock.advance(15.0)
+    fleet.check_invariants()
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    assert outcomes(fleet)[0] == "done"
