Move the questions to the advice service out of the director

What decides when the service is asked, and which units wait for its answer, is in a module of its own now; nothing changes for callers. Tests of advice, paths, recovery and VMs: 45 passed.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -7,11 +7,11 @@
 import attrs
 import gevent
 from gevent.event import Event
-from gevent.lock import BoundedSemaphore
 
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import TransportError
 from lacewingmill.jobs.advice_cache import AdviceCache
+from lacewingmill.jobs.advised_units import AdvisedUnits
 from lacewingmill.jobs.election import OwnerLease
 from lacewingmill.jobs.graph import JobGraph, Progress
 from lacewingmill.jobs.job_registry import JobRegistry
@@ -107,9 +107,6 @@
         self._deferred: dict[str, Unit] = {}
         self._failed_actions: list[Action] = []
         self._stopped = False
-        # The advice service accepts one call at a time from a VM.
-        self._advice_lock = BoundedSemaphore(1)
-        self._asking: set[str] = set()  # units about whose step the service is being asked
         self._greenlets: list[gevent.Greenlet] = []
         self.owner_lease = owner_lease
         self.recovered = False
@@ -129,6 +126,9 @@
         self.pool = WorkerPool(
             deps.orders, self.store_writer, self._planner, log, self._services, self._connect
         )
+        self._advised_units = AdvisedUnits(
+            self._advice, self.pool, self._planner, self.registry, log, self._add_deferred
+        )
         self._silent = SilentWorkers(deps.machines, self.pool.answering, clock, log)
         self._runner = UnitRunner(
             owner_lease,
@@ -161,6 +161,7 @@
     def stop(self) -> None:
         """Stop directing the workers; running tasks continue until their leases expire."""
         self._stopped = True
+        self._advised_units.stop()
         self.store_writer.stop()
         self.pool.stop()
         gevent.killall(self._greenlets, block=False)
@@ -364,47 +365,10 @@
             return
         graph = self.registry.graphs[unit.job_id]
         if graph.submission.advised:
-            gevent.spawn(self._queue_advised, graph, unit)
+            self._advised_units.queue(graph, unit)
         else:
             self._planner.queue(graph, unit)
 
-    def _queue_advised(self, graph: JobGraph, unit: Unit) -> None:
-        """Queue a unit for the workers that the advice service allows.
-
-        Runs in a greenlet of its own, because the service takes some time for each worker.
-        """
-        with self._advice_lock, contain_errors(self._log, unit=unit.unit_id):
-            if not self._advice.allowed_workers(unit):
-                self._advice.fetch(unit, self.pool.listed_workers(graph.submission.service))
-        if self._stopped or not self.registry.needs_run(unit):
-            return
-        workers = self._advice.allowed_workers(unit)
-        if workers:
-            self._planner.queue(graph, unit, workers)
-        else:
-            self._deferred[unit.unit_id] = unit
-
-    def _ask_about_new_workers(self) -> None:
-        """Ask the advice service about workers that have joined since units began to wait."""
-        for unit_id in self._planner.waiting_for_allowed_workers():
-            unit = self.registry.unit_by_id(unit_id)
-            if unit is None:
-                continue
-            graph = self.registry.graphs[unit.job_id]
-            workers = self.pool.listed_workers(graph.submission.service)
-            if unit_id not in self._asking and self._advice.unasked(unit, workers):
-                self._asking.add(unit_id)
-                gevent.spawn(self._update_allowed_workers, graph, unit)
-
-    def _update_allowed_workers(self, graph: JobGraph, unit: Unit) -> None:
-        with self._advice_lock, contain_errors(self._log, unit=unit.unit_id):
-            before = self._advice.allowed_workers(unit)
-            self._advice.fetch(unit, self.pool.listed_workers(graph.submission.service))
-            allowed = self._advice.allowed_workers(unit)
-            if allowed != before and not self._stopped:
-                self._planner.allow_workers(graph, unit, allowed)
-        self._asking.discard(unit.unit_id)
-
     def _end_job(self, graph: JobGraph) -> Event:
         """Store a job's final state, stop its units and withdraw those that wait.
 
@@ -434,9 +398,12 @@
             if self._clock.now() - retried_at > DEFERRED_RETRY_S:
                 retried_at = self._clock.now()
                 self._retry_deferred()
-                self._ask_about_new_workers()
+                self._advised_units.ask_about_new_workers()
             self._planner.wake.set()
 
+    def _add_deferred(self, unit: Unit) -> None:
+        self._deferred[unit.unit_id] = unit
+
     def _retry_deferred(self) -> None:
         deferred, self._deferred = self._deferred, {}
         for unit in deferred.values():
@@ -493,4 +460,4 @@
         """
         unit = self.registry.unit_by_id(unit_id)
         if unit is not None:
-            self._deferred[unit_id] = unit
+            self._add_deferred(unit)
