Compare what waiting units may use with the latest advice

What callers see: LOST. A task of a queue with advice waits for good for a worker that has left, while an allowed one is idle.

Cause: changed the needs of waiting units only when a question about new workers changed the cache. The cache also changes when a ticket is fetched for the start of another unit of the step, or when a unit is queued again; the units that waited beside it kept the old set, as the next question changed nothing. A unit that a new owner adopts had no set at all, and was started on any worker.

Change: the set of each waiting unit is compared with the latest answers once a second. Adopted units have no allowed worker until they wait. An answer about a worker replaces the earlier one. A unit that becomes ready asks at once if none of its workers is registered any more.

--- a/src/lacewingmill/jobs/advice_cache.py
+++ b/src/lacewingmill/jobs/advice_cache.py
@@ -100,6 +100,8 @@
             return False
         valid_until = self._clock.now() + advice.valid_s
         tickets = self._tickets.setdefault(_step(unit), {})
+        for worker in workers:
+            tickets.pop(worker, None)  # from before a restart of the worker
         for worker, text in advice.tickets.items():
             tickets[worker] = _Ticket(text, valid_until)
         return True
--- a/src/lacewingmill/jobs/advised_units.py
+++ b/src/lacewingmill/jobs/advised_units.py
@@ -10,6 +10,7 @@
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.job_registry import JobRegistry
 from lacewingmill.jobs.model import Unit
+from lacewingmill.jobs.ports import WorkerEntry
 from lacewingmill.jobs.unit_planner import UnitPlanner
 from lacewingmill.jobs.worker_pool import WorkerPool
 from lacewingmill.tasks import contain_errors
@@ -53,22 +54,27 @@
         """Queue a unit for the workers that may run it, once these are known."""
         gevent.spawn(self._queue, graph, unit)
 
-    def ask_about_new_workers(self) -> None:
-        """Ask about the workers that have joined since units began to wait."""
-        for unit_id in self._planner.waiting_for_allowed_workers():
+    def update_waiting(self) -> None:
+        """Let the units that wait use the workers that may run them by the latest answers.
+
+        The service is asked about the workers that have joined since the last question.
+        """
+        for unit_id, planned in self._planner.waiting_for_allowed_workers():
             unit = self._registry.unit_by_id(unit_id)
             if unit is None or unit_id in self._asking:
                 continue
             graph = self._registry.graphs[unit.job_id]
-            workers = self._pool.listed_workers(graph.submission.service)
-            if self._advice.unasked(unit, workers):
+            if self._advice.unasked(unit, self._listed_workers(graph)):
                 self._asking.add(unit_id)
-                gevent.spawn(self._update_allowed_workers, graph, unit)
+                gevent.spawn(self._ask, graph, unit, planned)
+            else:
+                self._allow_workers(graph, unit, planned)
 
     def _queue(self, graph: JobGraph, unit: Unit) -> None:
         with self._lock, contain_errors(self._log, unit=unit.unit_id):
-            if not self._advice.allowed_workers(unit):
-                self._advice.fetch(unit, self._pool.listed_workers(graph.submission.service))
+            listed = self._listed_workers(graph)
+            if self._advice.allowed_workers(unit).isdisjoint(entry.worker for entry in listed):
+                self._advice.fetch(unit, listed)
         if self._stopped or not self._registry.needs_run(unit):
             return
         workers = self._advice.allowed_workers(unit)
@@ -77,11 +83,22 @@
         else:
             self._defer(unit)
 
-    def _update_allowed_workers(self, graph: JobGraph, unit: Unit) -> None:
+    def _ask(self, graph: JobGraph, unit: Unit, planned: frozenset[str]) -> None:
         with self._lock, contain_errors(self._log, unit=unit.unit_id):
-            before = self._advice.allowed_workers(unit)
-            self._advice.fetch(unit, self._pool.listed_workers(graph.submission.service))
-            allowed = self._advice.allowed_workers(unit)
-            if allowed != before and not self._stopped:
-                self._planner.allow_workers(graph, unit, allowed)
+            self._advice.fetch(unit, self._listed_workers(graph))
+            self._allow_workers(graph, unit, planned)
         self._asking.discard(unit.unit_id)
+
+    def _allow_workers(self, graph: JobGraph, unit: Unit, planned: frozenset[str]) -> None:
+        """Replace the workers that the units of a step may use, if they are not the allowed ones.
+
+        Each answer counts, whatever it was asked for: the start of another unit fetches a ticket.
+
+        :param planned: the workers that the units may use so far.
+        """
+        allowed = self._advice.allowed_workers(unit)
+        if allowed != planned and not self._stopped:
+            self._planner.allow_workers(graph, unit, allowed)
+
+    def _listed_workers(self, graph: JobGraph) -> list[WorkerEntry]:
+        return self._pool.listed_workers(graph.submission.service)
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -398,7 +398,7 @@
             if self._clock.now() - retried_at > DEFERRED_RETRY_S:
                 retried_at = self._clock.now()
                 self._retry_deferred()
-                self._advised_units.ask_about_new_workers()
+                self._advised_units.update_waiting()
             self._planner.wake.set()
 
     def _add_deferred(self, unit: Unit) -> None:
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -100,14 +100,17 @@
         """Remove a unit, waiting or running."""
         self.feed(graph.submission.service, JobCancelled(unit.unit_id))
 
-    def waiting_for_allowed_workers(self) -> list[str]:
-        """Return the ids of the units that wait and may run on some workers only, one a step."""
+    def waiting_for_allowed_workers(self) -> list[tuple[str, frozenset[str]]]:
+        """Return the units that wait and may run on some workers only, with these workers.
+
+        :return: the id of one unit for each step and set of workers.
+        """
         units = {}
         for scheduler in self._schedulers.values():
             for unit_id, job in scheduler.queued_jobs():
                 if job.needs.only is not None:
-                    units[job.needs.group] = unit_id
-        return list(units.values())
+                    units[(job.needs.group, job.needs.only)] = unit_id
+        return [(unit_id, only) for (_, only), unit_id in units.items()]
 
     def allow_workers(self, graph: JobGraph, unit: Unit, workers: frozenset[str]) -> None:
         """Replace the workers that may run the units of a step."""
@@ -147,9 +150,14 @@
                 self._execute(action)
 
     def adopt(self, active: ActiveUnit) -> None:
-        """Add a unit that already runs."""
-        scheduler = self._scheduler(active.graph.submission.service)
-        job = unit_job(active.graph, active.unit, self._clock)
+        """Add a unit that already runs.
+
+        Which workers may run an advised unit is found out if it has to wait again.
+        """
+        submission = active.graph.submission
+        scheduler = self._scheduler(submission.service)
+        allowed_workers = frozenset() if submission.advised else None
+        job = unit_job(active.graph, active.unit, self._clock, allowed_workers)
         placement = _placement(
             scheduler, list(active.members.values()), job.shape.unit_accelerators
         )
--- a/tests/test_platform_advice.py
+++ b/tests/test_platform_advice.py
@@ -78,3 +78,39 @@
     starts = fleet.network.call_counts["/run-start"]
     fleet.clock.advance(5.0)
     assert fleet.network.call_counts["/run-start"] - starts <= 1
+
+
+# Guards against a unit that waits for good for a worker that has left, because the answer about its
+# replacement came with the start of another unit of the step, which a new owner had adopted.
+def test_a_unit_beside_an_adopted_one_runs_on_the_replacement_of_its_worker():
+    fleet = PlatformFleet(vms=3)
+    wait_for_owner(fleet)
+    submit_advised(fleet, "i-1", "i-4", count=2, gpu=8)
+    others = ("vm0", "ordinary", job_id(2), [step(count=3, gpu=8)], "run_s=60")
+    run(fleet, fleet.submit, *others, seconds=1.0)
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    fleet.clock.advance(1.0)
+    fleet.executors[1].exit()
+    fleet.operator.unregister(fleet.executors[1])
+    fleet.clock.advance(3.0)
+    add_worker(fleet)
+    fleet.clock.advance(18.0)
+    assert run(fleet, fleet.state, fleet.owner, "advised", job_id(1)) == "completed"
+    fleet.check_invariants()
+
+
+# Guards against starts without a ticket on any worker, for a unit that a new owner has adopted.
+def test_an_adopted_unit_starts_again_only_where_it_may_run():
+    fleet = PlatformFleet(vms=3)
+    wait_for_owner(fleet)
+    submit_advised(fleet, "i-1", "i-4")
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+    fleet.clock.advance(1.0)
+    add_worker(fleet)
+    starts = fleet.network.call_counts["/run-start"]
+    remove_worker(fleet, fleet.executors[1])
+    fleet.clock.advance(12.0)
+    assert run(fleet, fleet.state, fleet.owner, "advised", job_id(1)) == "completed"
+    assert fleet.network.call_counts["/run-start"] == starts + 1
