Give the advice service the time that the configuration states

What callers see: LOST. A task of a queue with advice never starts where the service takes over 5 s for its question.

Cause: the time-out of a question was 5 s, whatever decide_ms and period_ms of the queue and however many workers were asked about. A question that timed out was asked again, with the same end.

Change: the time-out is 5 s more than the configuration in force states for the number of workers. The emulated service's answers now arrive too late when they do; before, no test could show this.

Evidence: a new test with 1.5 s for each of four workers failed before.

--- a/src/lacewingmill/jobs/advice_cache.py
+++ b/src/lacewingmill/jobs/advice_cache.py
@@ -1,12 +1,13 @@
 """Cache of the advice service's answers: which workers may run a step, with their tickets."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import TransportError
-from lacewingmill.jobs.model import TaskId, Unit
+from lacewingmill.jobs.job_registry import JobRegistry
+from lacewingmill.jobs.model import QueueTable, TaskId, Unit
 from lacewingmill.jobs.ports import Advisor, WorkerEntry
 from lacewingmill.ports import Clock
 
@@ -14,7 +15,8 @@
 
 # The service accepts at most 100 workers per call, and each of them adds to its response time.
 MAX_WORKERS_PER_CALL = 100
-TIMEOUT_S = 5.0
+# Allows for slow links, and for a call of this VM that the service still handles.
+TIMEOUT_MARGIN_S = 5.0
 # A ticket is not used if it could expire while the start is in progress.
 EXPIRY_MARGIN_S = 0.3
 
@@ -32,10 +34,21 @@
     are replaced, and one that starts again under its id may get another answer.
 
     :param advisor: the advice service; ``None`` where there is none.
+    :param table: returns the configuration in force, which tells how long the service takes;
+        ``None`` before the first one was read.
     """
 
-    def __init__(self, advisor: Advisor | None, clock: Clock, log: EventLog):
+    def __init__(
+        self,
+        advisor: Advisor | None,
+        clock: Clock,
+        log: EventLog,
+        registry: JobRegistry,
+        table: Callable[[], QueueTable | None],
+    ):
         self._advisor = advisor
+        self._registry = registry
+        self._table = table
         self._clock = clock
         self._log = log
         self._tickets: dict[tuple[str, int, int], dict[str, _Ticket]] = {}
@@ -93,8 +106,9 @@
         if self._advisor is None:
             return False
         task = TaskId(unit.job_id, unit.occurrence, unit.step, 0)
+        timeout_s = self._timeout_s(unit, len(workers))
         try:
-            advice = self._advisor.advise(task, workers, timeout_s=TIMEOUT_S)
+            advice = self._advisor.advise(task, workers, timeout_s=timeout_s)
         except TransportError as exc:
             self._log.emit(LogEvent.ADVICE_MISSING, unit=unit.unit_id, reason=exc.message)
             return False
@@ -106,6 +120,14 @@
             tickets[worker] = _Ticket(text, valid_until)
         return True
 
+    def _timeout_s(self, unit: Unit, workers: int) -> float:
+        """Return how long a question about some workers may take, in seconds."""
+        table, graph = self._table(), self._registry.graphs.get(unit.job_id)
+        if table is None or graph is None:
+            return TIMEOUT_MARGIN_S
+        timing = table.advice_timing(graph.submission.queue)
+        return TIMEOUT_MARGIN_S + timing.answer_s(workers)
+
 
 def _step(unit: Unit) -> tuple[str, int, int]:
     return (unit.job_id, unit.occurrence, unit.step)
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -121,7 +121,7 @@
             deps.rng,
         )
         self.registry = JobRegistry(self.store_writer, clock, meters)
-        self._advice = AdviceCache(deps.advisor, clock, log)
+        self._advice = AdviceCache(deps.advisor, clock, log, self.registry, deps.table)
         self._planner = UnitPlanner(clock, log, deps.table, self._execute_contained)
         self.pool = WorkerPool(
             deps.orders, self.store_writer, self._planner, log, self._services, self._connect
--- a/src/lacewingmill/jobs/model.py
+++ b/src/lacewingmill/jobs/model.py
@@ -5,6 +5,7 @@
 import attrs
 
 __all__ = [
+    "AdviceTiming",
     "JobState",
     "JobTiming",
     "Queue",
@@ -93,6 +94,22 @@
         return self.start_at + occurrence * self.interval_s
 
 
+@attrs.frozen
+class AdviceTiming:
+    """How long the advice service takes for a question.
+
+    :param decide_s: time for each question, in seconds.
+    :param worker_s: time for each worker that is asked about, in seconds.
+    """
+
+    decide_s: float = 0.0
+    worker_s: float = 0.0
+
+    def answer_s(self, workers: int) -> float:
+        """Return how long the answer about a number of workers takes, in seconds."""
+        return self.decide_s + self.worker_s * workers
+
+
 @attrs.frozen
 class Queue:
     """A route to which clients submit jobs.
@@ -102,7 +119,7 @@
     :param stretch: factor by which the critical path of a job is multiplied for its due time.
     :param objective_s: time added to that product, in seconds.
     :param public: whether clients need no API key.
-    :param advised: whether a step may run only on the workers that the advice service names.
+    :param advice: set if a step may run only on the workers that the advice service names.
     """
 
     name: str
@@ -114,7 +131,7 @@
     stretch: float
     objective_s: float
     public: bool = False
-    advised: bool = False
+    advice: AdviceTiming | None = None
 
 
 @attrs.frozen
@@ -148,6 +165,11 @@
         found = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
         return max(found, key=lambda queue: len(queue.prefix), default=None)
 
+    def advice_timing(self, name: str) -> AdviceTiming:
+        """Return the timing of a queue's advice; one without delays where there is none."""
+        found = (queue.advice for queue in self.queues if queue.name == name)
+        return next(found, None) or AdviceTiming()
+
     def team_of(self, key: str) -> TeamKeys | None:
         """Return the team to which an API key belongs; ``None`` for an unknown key."""
         return next((team for team in self.teams if key in team.keys), None)
--- a/src/lacewingmill/platform/configuration.py
+++ b/src/lacewingmill/platform/configuration.py
@@ -4,7 +4,7 @@
 
 from lacewingmill.codec import decode_json
 from lacewingmill.exceptions import DocumentInvalid, MessageInvalid
-from lacewingmill.jobs.model import Queue, QueueTable, TeamKeys
+from lacewingmill.jobs.model import AdviceTiming, Queue, QueueTable, TeamKeys
 from lacewingmill.platform.fields import Amount, Duration, Integer, Number
 
 __all__ = ["CONFIGURATION_KEY", "decode_configuration"]
@@ -12,6 +12,12 @@
 CONFIGURATION_KEY = "op/config"
 
 
+@attrs.frozen
+class _Advice:
+    decide_ms: Duration = 0.0
+    period_ms: Duration = 0.0
+
+
 @attrs.frozen
 class _Route:
     name: str
@@ -23,7 +29,7 @@
     attempts: Integer = 1
     stretch: Amount = 1.0
     public: bool = False
-    advice: dict[str, float] | None = None
+    advice: _Advice | None = None
 
 
 @attrs.frozen
@@ -70,5 +76,11 @@
         route.stretch,
         route.slo_ms / 1000,
         route.public,
-        route.advice is not None,
+        _make_timing(route.advice),
     )
+
+
+def _make_timing(advice: _Advice | None) -> AdviceTiming | None:
+    if advice is None:
+        return None
+    return AdviceTiming(advice.decide_ms / 1000, advice.period_ms / 1000)
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -157,7 +157,7 @@
         if peer in network.executors and network.executors[peer].exited_at is None:
             return self._call_executor(peer, path, headers or {}, body, timeout_s)
         if peer == network.advisor_address:
-            return self._receive(network.advise(json.loads(body)), timeout_s)
+            return self._call_advisor(json.loads(body), timeout_s)
         if peer == network.machines_address:
             return self._receive(network.list_machines(path), timeout_s)
         return self._call_vm(peer, method, path, headers or {}, body, timeout_s)
@@ -182,6 +182,14 @@
             raise TransportError("connection reset", step=path, peer=self._name) from exc
         return self._receive(response, timeout_s)
 
+    def _call_advisor(self, body, timeout_s):
+        network = self._network
+        answer_by = network.clock.now() + timeout_s
+        response = network.advise(body)
+        if network.clock.now() > answer_by:
+            raise CallTimeout("answer late", step="/advise", peer=self._name)
+        return self._receive(response, timeout_s)
+
     def _call_executor(self, peer, path, headers, body, timeout_s):
         network = self._network
         executor = network.executors[peer]
--- a/tests/test_platform_advice.py
+++ b/tests/test_platform_advice.py
@@ -114,3 +114,19 @@
     fleet.clock.advance(12.0)
     assert run(fleet, fleet.state, fleet.owner, "advised", job_id(1)) == "completed"
     assert fleet.network.call_counts["/run-start"] == starts + 1
+
+
+# Guards against giving up each question to a service that takes long for many workers.
+def test_a_slow_service_is_given_the_time_that_its_queue_states():
+    fleet = PlatformFleet(vms=1)
+    wait_for_owner(fleet)
+    fleet.network.advice_delay_s = 1.5
+    fleet.config["version"] += 1
+    for route in fleet.config["routes"]:
+        if "advice" in route:
+            route["advice"] |= {"decide_ms": 1500, "period_ms": 1500}
+    fleet.operator.configure(fleet.config)
+    fleet.clock.advance(3.0)
+    submit_advised(fleet, "i-1")
+    fleet.clock.advance(16.0)
+    assert run(fleet, fleet.state, "vm0", "advised", job_id(1)) == "completed"
