Adopt the runs of a worker that answers late before placing others

What callers see: ROUTE, a task started beside more of its step than may be on one worker, and starts that a worker refuses for want of room.

Cause: to adopt a run that is listed late, the planner first added the worker to the scheduler by a call that also placed waiting units. The worker seemed empty then, though it had listed its runs. The same call stood between the removal and the addition of a gang of which another member had been found.

Change: events are applied without placing anything, and units are placed in the next planning round, after all runs of the report have been adopted.

Evidence: a new test failed before, with three tasks on a worker where two may be.

--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -143,11 +143,16 @@
             raise RuntimeError(f"planning for {service} failed {MAX_FAILED_ROUNDS} times in a row")
 
     def flush(self) -> None:
-        """Apply queued events one by one, to add workers before their runs are adopted."""
+        """Apply all queued events, to add workers before their runs are adopted.
+
+        Nothing is placed before the next planning round: a worker that has just answered would
+        seem to be empty.
+        """
         events, self._events = self._events, []
         for service, event in events:
-            for action in self._scheduler(service).handle(event, self._clock.now()):
-                self._execute(action)
+            with contain_errors(self._log, event=repr(event)[:MAX_EVENT_CHARS]):
+                self._scheduler(service).apply(event, self._clock.now())
+        self.wake.set()
 
     def adopt(self, active: ActiveUnit) -> None:
         """Add a unit that already runs.
@@ -162,10 +167,8 @@
             scheduler, list(active.members.values()), job.shape.unit_accelerators
         )
         now = self._clock.now()
-        for action in scheduler.handle(
-            GangRecovered(RunningGang(job, placement, job.urgent, now)), now
-        ):
-            self._execute(action)
+        scheduler.apply(GangRecovered(RunningGang(job, placement, job.urgent, now)), now)
+        self.wake.set()
 
     def update_adopted(self, active: ActiveUnit) -> None:
         """Replace the placement of a running unit, of which another member was found."""
--- a/tests/test_takeover_hold_back.py
+++ b/tests/test_takeover_hold_back.py
@@ -269,3 +269,26 @@
     fleet.check_invariants()
     assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
     assert outcomes(fleet)[0] == "done"
+
+
+# Guards against placing waiting units on a worker that has just answered, before the runs that it
+# lists are counted: beyond the limit of the step, or on room that is taken.
+def test_a_worker_that_answers_late_gets_no_work_beside_its_runs():
+    fleet = PlatformFleet(vms=3)
+    steps = [step(count=8, gpu=2, max_per_server=2)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=12", seconds=1.0)
+    late = fleet.executors[3]
+    kept = [entry for entry in fleet.run_history.runs if entry.executor == late.name]
+    assert len(kept) == 2
+    cut_off(fleet, late)
+    replace_owner(fleet)
+    fleet.clock.advance(0.5)
+    urgent = [step(count=3, gpu=8)]
+    run(fleet, fleet.submit, "vm1", "urgent", job_id(2), urgent, "run_s=8", seconds=1.0)
+    assert len([entry for entry in fleet.run_history.runs if entry.outcome == "stopped"]) == 6
+    reconnect(fleet, late)
+    fleet.clock.advance(2.0)
+    assert [entry for entry in fleet.run_history.runs if entry.executor == late.name] == kept
+    fleet.clock.advance(30.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    fleet.check_invariants()
