Count the leases of earlier owners for runs that a worker lists

What callers see: TWICE. After a takeover, a task runs on one worker for the earlier owner while the new one starts it on another.

Cause: a silent worker is given up once all leases have ended that this owner requested. It requests the first one with its second poll of the worker. If an order failed before (the stop of a cancelled job's task, while the end of another run waits for the store), that poll went without an extension, and the next failure found no lease at all: runs listed a moment before were taken for gone, although the earlier owner's leases last up to 6 s.

Change: the first report of a worker counts like a request for the longest lease. Earlier owners may have requested one until then, and no later, as the worker knows the higher fencing token since.

Evidence: a new test, with two runs at once before.

--- a/src/lacewingmill/jobs/lease_clock.py
+++ b/src/lacewingmill/jobs/lease_clock.py
@@ -33,6 +33,13 @@
         """Set the worker's clock from a reading that it has just reported, in seconds."""
         self._offset = worker_s - self._clock.now()
 
+    def count_earlier_leases(self) -> None:
+        """Count the leases that earlier owners may have requested up to now."""
+        self._expires_at = max(
+            self._expires_at,
+            self._clock.now() + self._max_lease_s * CLOCK_DRIFT_FACTOR + EXPIRY_MARGIN_S,
+        )
+
     def extend(self) -> float:
         """Return the end of a lease that begins now, in seconds on the worker's clock.
 
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -328,6 +328,8 @@
         new_ends = tuple(ended for ended in report.ended if ended.number > self._acks.seen)
         report = attrs.evolve(report, ended=new_ends)
         self._partly_heard = report.truncated
+        if not self.opened:
+            self._lease.count_earlier_leases()  # of the runs that the worker lists
         if not self.opened and not report.truncated:
             self.opened = True
             self.silent = False
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -27,6 +27,7 @@
     other faults are given by the name of an executor:
 
     - ``lost_orders``: executors that no order reaches;
+    - ``reset_orders``: executors to which the connections of orders are reset;
     - ``late_orders``: delay after which orders take effect, in seconds; they get no response;
     - ``lost_responses``: number of orders that take effect and get no response;
     - ``lost_holds``, ``reset_holds``, ``refused_holds``: number of hold calls that time out, or
@@ -44,6 +45,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.slow_servers: dict[str, float] = {}
         self.lost_orders: set[str] = set()
+        self.reset_orders: set[str] = set()
         self.advisor_address = ""
         self.machines_address = ""
         self.machines_down = False
@@ -204,6 +206,8 @@
         if path == "/hold" and network.refused_holds.get(executor.name, 0):
             network.refused_holds[executor.name] -= 1
             raise ConnectFailed("refused", step="connect", peer=peer)
+        if executor.name in network.reset_orders and path != "/hold":
+            raise TransportError("connection reset", step=path, peer=peer)
         if executor.name in network.lost_orders and path != "/hold":
             network.clock.sleep(timeout_s)
             raise CallTimeout("order lost", step=path, peer=peer)
--- a/tests/test_takeover_hold_back.py
+++ b/tests/test_takeover_hold_back.py
@@ -1,5 +1,6 @@
 """Units that a worker may still run for an earlier owner, when a new owner plans; virtual time."""
 
+import gevent
 import pytest
 
 from standins.platform import executors
@@ -292,3 +293,47 @@
     fleet.clock.advance(30.0)
     assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
     fleet.check_invariants()
+
+
+def lose_polls_after_report(fleet, worker):
+    """Lose the polls of a worker, and the store for a second, once the worker has answered one."""
+    handle = worker.handle
+
+    def handle_and_lose(path, headers, body):
+        answer = handle(path, headers, body)
+        if path == "/hold":
+            worker.handle = handle
+            fleet.network.lost_holds[worker.name] = 1000
+            fleet.kv.faults.down = True
+            gevent.spawn(restore_store)
+        return answer
+
+    def restore_store():
+        fleet.clock.sleep(1.0)
+        fleet.kv.faults.down = False
+
+    worker.handle = handle_and_lose
+
+
+# Guards against giving up the runs that a worker has listed to a new owner, before the leases end
+# that an earlier owner has given them: their worker fails an order before the first extension.
+def test_listed_runs_keep_the_leases_of_the_earlier_owner():
+    fleet = PlatformFleet(vms=3)
+    others = [step(count=3, gpu=8)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(9), others, "run_s=3", seconds=0.5)
+    for number, length_s in ((1, 20), (2, 20), (3, 1)):
+        args = ("vm0", "ordinary", job_id(number), [step()], f"run_s={length_s}")
+        run(fleet, fleet.submit, *args, seconds=0.3)
+    worker = executor_of(fleet, f"{job_id(1)}.0.0.0")
+    assert {executor_of(fleet, f"{job_id(number)}.0.0.0") for number in (2, 3)} == {worker}
+    fleet.network.reset_orders.add(worker.name)
+    run(fleet, fleet.call, fleet.owner, "DELETE", f"/ordinary/{job_id(2)}", seconds=0.5)
+    fleet.kill(fleet.owner)
+    lose_polls_after_report(fleet, worker)
+    wait_for_owner(fleet)
+    fleet.clock.advance(30.0)
+    fleet.network.lost_holds.clear()
+    fleet.network.reset_orders.clear()
+    fleet.clock.advance(30.0)
+    fleet.check_invariants()
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
