Request shorter leases by older readings of a worker's clock

Cause: the end of a lease is a time on the worker's clock, estimated from its last answer. An idle worker isn't polled, so the answer may be minutes old, and the clock may run 2 % slow.

Change: the requested lease is shorter by what the clock may have fallen behind since the reading, down to half of its length; the rest is awaited.

--- a/src/lacewingmill/jobs/lease_clock.py
+++ b/src/lacewingmill/jobs/lease_clock.py
@@ -22,6 +22,7 @@
         self._clock = clock
         self._max_lease_s = max_lease_s
         self._offset = 0.0
+        self._read_at = clock.now()
         self._expires_at = 0.0
 
     @property
@@ -31,7 +32,8 @@
 
     def set_worker_time(self, worker_s: float) -> None:
         """Set the worker's clock from a reading that it has just reported, in seconds."""
-        self._offset = worker_s - self._clock.now()
+        self._read_at = self._clock.now()
+        self._offset = worker_s - self._read_at
 
     def count_earlier_leases(self) -> None:
         """Count the leases that earlier owners may have requested up to now."""
@@ -44,11 +46,14 @@
         """Return the end of a lease that begins now, in seconds on the worker's clock.
 
         The lease counts as granted from now on, even if the order gets no answer, because the
-        worker may still carry it out.
+        worker may still carry it out. The worker's clock may have fallen behind since its last
+        reading, so the lease is the shorter the older that is, down to half of its length.
         """
         now = self._clock.now()
-        lease_s = self._max_lease_s * LEASE_SHARE
+        longest_s = self._max_lease_s * LEASE_SHARE
+        behind_s = (now - self._read_at) * (CLOCK_DRIFT_FACTOR - 1)
+        lease_s = longest_s - min(behind_s, longest_s / 2)
         self._expires_at = max(
-            self._expires_at, now + lease_s * CLOCK_DRIFT_FACTOR + EXPIRY_MARGIN_S
+            self._expires_at, now + (lease_s + behind_s) * CLOCK_DRIFT_FACTOR + EXPIRY_MARGIN_S
         )
         return now + self._offset + lease_s
