Give up the members of a gang that have not started when it fails

What callers see: LOST. A job of a gang stays running for good with nothing at work, and other jobs wait for the room that its gang seems to hold.

Cause: the members of a gang that has failed or is done were not stopped, since they end by themselves. A member that still waited for its order was never ordered and never counted as gone; one whose start got no answer was neither listed nor stopped. One worker that fails what it starts beside one that leaves orders unanswered for two seconds is enough.

Change: when a unit is closed, members without an order are gone and members without an answer are stopped, whatever the reason.

Emulated workers may fail a run before its gang is complete now.

--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -51,7 +51,7 @@
     CloseReason.FINISHED,
     CloseReason.TICKET_REFUSED,
 )
-# The members of a gang that is done or has failed end by themselves.
+# The running members of a gang that is done or has failed end by themselves.
 SELF_ENDING_REASONS = (CloseReason.FINISHED, CloseReason.FAILED)
 
 
@@ -251,9 +251,11 @@
                 reason if active.close_reason is not CloseReason.FINISHED else CloseReason.FINISHED
             )
             active.responsible_worker = responsible_worker or active.responsible_worker
-        if first and reason not in SELF_ENDING_REASONS:
+        if first:
             for member in active.members.values():
-                self._stop_member(member)
+                running = member.state is MemberState.RUNNING
+                if not running or reason not in SELF_ENDING_REASONS:
+                    self._stop_member(member)
         self._release_if_gone(active)
 
     def _start_member(self, active: ActiveUnit, member: Member, link: WorkerLink) -> None:
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -144,7 +144,8 @@
     :param clock: time of the emulated platform.
     :param run_history: records the runs of all executors.
 
-    If ``failing`` is set, all tasks that it starts fail; if ``rejects_starts`` is set, it responds
+    If ``failing`` is set, all tasks that it starts fail, after ``fails_after_s`` if that is set,
+    also while their gang is incomplete; if ``rejects_starts`` is set, it responds
     with 503 to starts.
     """
 
@@ -153,6 +154,7 @@
         self.entry = entry
         self.fence = 0
         self.failing = False
+        self.fails_after_s: float | None = None
         self.rejects_starts = False
         self.exited_at: float | None = None
         self.incarnation = int(clock.wall() * 1000)
@@ -328,6 +330,12 @@
             return run.restored_s
         return run.restored_s + max(0.0, self._clock.now() - run.work_started_at)
 
+    def _fails_at(self, run: Run) -> float:
+        """Return when the executor fails a run of its own accord; infinite if it doesn't."""
+        if not self.failing or self.fails_after_s is None:
+            return float("inf")
+        return run.started_at + self.fails_after_s
+
     def _next_event_at(self) -> float:
         times = [self._started_at + self._lease_until_ms / 1000]
         for run in self._running.values():
@@ -335,6 +343,7 @@
                 times.append(run.stops_at)
             if run.work_started_at is not None:
                 times.append(run.work_started_at + run.run_s - run.restored_s)
+            times.append(self._fails_at(run))
         return max(min(times), self._clock.now() + 0.005)
 
     def advance(self) -> None:
@@ -352,7 +361,10 @@
             done_at = None
             if run.work_started_at is not None:
                 done_at = run.work_started_at + run.run_s - run.restored_s
-            if done_at is not None and done_at <= min(now, lapse_at):
+            fails_at = self._fails_at(run)
+            if fails_at <= min(now, lapse_at):
+                self._end(run, "failed", fails_at)
+            elif done_at is not None and done_at <= min(now, lapse_at):
                 self._end(run, "failed" if run.fails else "done", done_at)
             elif lapse_at <= now:
                 self._end(run, "lapsed", lapse_at)
