--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -353,11 +353,7 @@
         if lapse_at <= now:
             self._lease_lapsed_at = lapse_at
         for run in list(self._running.values()):
-            if run.checkpointing and run.work_started_at is not None:
-                checkpoint_s = (
-                    int(self._work_done_s(run) / CHECKPOINT_INTERVAL_S) * CHECKPOINT_INTERVAL_S
-                )
-                run.checkpoint = str(checkpoint_s) if checkpoint_s else run.checkpoint
+            self._save_checkpoint(run)
             done_at = None
             if run.work_started_at is not None:
                 done_at = run.work_started_at + run.run_s - run.restored_s
@@ -378,6 +374,12 @@
             ):
                 self._end(run, "broken", now)
 
+    def _save_checkpoint(self, run: Run) -> None:
+        if not run.checkpointing or run.work_started_at is None:
+            return
+        checkpoint_s = int(self._work_done_s(run) / CHECKPOINT_INTERVAL_S) * CHECKPOINT_INTERVAL_S
+        run.checkpoint = str(checkpoint_s) if checkpoint_s else run.checkpoint
+
     def _end(self, run: Run, outcome: str, at: float) -> None:
         if outcome == "stopped" and run.checkpointing:
             run.checkpoint = str(round(self._work_done_s(run), 3))
