Show a team's jobs to callers with its key only

What callers see: a caller without a key reads and cancels any team's job by its id through a public queue, and is told that its own job is accepted under an id that somebody else uses.

Cause: a client without a team passed each check of teams, and any submission under a stored id counted as a repeated one.

Change: a job that came through a public queue is marked so, and every client may see and cancel it; all others need a key of their team, whichever queue the call names. A submission under an id in use reads the stored job, and is refused with 409 if somebody else submitted it. Counts stay those of the whole queue, as PROTOCOL.md tells ("the number of the queue's accepted jobs").

--- a/src/lacewingmill/jobs/job_api.py
+++ b/src/lacewingmill/jobs/job_api.py
@@ -90,7 +90,7 @@
 class QueueRoute:
     """The queue and client of a request.
 
-    :param team: name of the client's team; empty on a public queue.
+    :param team: name of the client's team; empty without a key, as public queues need none.
     :param subpath: the path after the queue's prefix; the id of a job, or empty.
     """
 
@@ -139,6 +139,7 @@
         """Store a job; a job that is stored already counts as accepted.
 
         :param deadline_s: how long the client waits, in seconds.
+        :raises RequestInvalid: with status 409 when somebody else uses the id.
         :raises JobRefused: when the job was certainly not stored.
         :raises OutcomeUnknown: when the job may have been stored or may still be stored.
         """
@@ -147,16 +148,16 @@
         retry_until = started_at + deadline_s * DEADLINE_SHARE
         unknown_reason = ""
         refusals = 0
+        stored = False  # by this or an earlier request with the id
         while True:
             try:
-                self._report_accepted(submission, self._create(submission))
-                self._meters.observe(Meter.STORED, self._clock.now() - started_at)
-                return
-            except TransactionConflict:
-                self._log.emit(LogEvent.JOB_ACCEPTED, job=submission.job_id, repeated=True)
+                if stored or not self._store_job(submission, started_at):
+                    stored = True
+                    self._check_repeated(submission)
                 return
             except StoreRefused as exc:
                 refusals += 1
+                unknown_reason = unknown_reason or (exc.message if stored else "")
                 if not unknown_reason and self._is_refusal_final(refusals, retry_until):
                     self._refuse(submission, exc.message, started_at, deadline_s)
             except StoreUnavailable as exc:
@@ -297,13 +298,33 @@
 
     def _has_job(self, job_id: str, team: str, director: Director) -> bool:
         graph = director.registry.graphs.get(job_id)
-        return graph is not None and _same_team(graph.submission, team)
+        return graph is not None and graph.submission.visible_to(team)
 
-    def _create(self, submission: Submission) -> int:
+    def _store_job(self, submission: Submission, started_at: float) -> bool:
+        """Store a job; return whether it was stored now, and no other under its id before."""
         key = job_key(submission.job_id)
-        return self._store.commit(
-            Transaction((ItemRevision(key, 0),), (Put(key, encode(submission)),))
-        )
+        try:
+            revision = self._store.commit(
+                Transaction((ItemRevision(key, 0),), (Put(key, encode(submission)),))
+            )
+        except TransactionConflict:
+            return False
+        self._report_accepted(submission, revision)
+        self._meters.observe(Meter.STORED, self._clock.now() - started_at)
+        return True
+
+    def _check_repeated(self, submission: Submission) -> None:
+        """Check that the job that is stored under an id was submitted by the same client.
+
+        :raises RequestInvalid: when somebody else uses the id.
+        """
+        record = self._store.get(job_key(submission.job_id))
+        try:
+            if record is not None and not submission.repeats(decode(record.value, Submission)):
+                raise RequestInvalid("the id of the job is in use", status=409)
+        except MessageInvalid as exc:
+            self._log.emit(LogEvent.JOB_UNREADABLE, key=job_key(submission.job_id), reason=str(exc))
+        self._log.emit(LogEvent.JOB_ACCEPTED, job=submission.job_id, repeated=True)
 
     def _report_accepted(self, submission: Submission, revision: int) -> None:
         self._meters.count(Meter.JOBS, outcome="accepted", cause="")
@@ -357,7 +378,7 @@
         if record is None:
             return None
         try:
-            if not _same_team(decode(record.value, Submission), team):
+            if not decode(record.value, Submission).visible_to(team):
                 return None
             stored = self._store.get(progress_key(job_id))
             if stored is not None:
@@ -366,8 +387,3 @@
             raise StoreUnavailable(f"stored job {job_id} cannot be read: {exc}") from exc
         cancelled = self._store.get(cancel_key(job_id))
         return JobState.CANCELLED if cancelled is not None else JobState.QUEUED
-
-
-def _same_team(submission: Submission, team: str) -> bool:
-    """Whether a client may see a job; clients and jobs of public queues have no team."""
-    return not team or not submission.team or submission.team == team
--- a/src/lacewingmill/jobs/model.py
+++ b/src/lacewingmill/jobs/model.py
@@ -182,6 +182,7 @@
     :param spec: text that is passed to each task at its start.
     :param accepted_at: wall-clock time of acceptance, in seconds since the epoch.
     :param advised: whether each start needs a ticket of the advice service.
+    :param public: whether its queue was public, so that no key is needed to see or cancel it.
     """
 
     job_id: str
@@ -197,6 +198,20 @@
     timing: JobTiming = JobTiming()
     accepted_at: float = 0.0
     advised: bool = False
+    public: bool = False
+
+    def visible_to(self, team: str) -> bool:
+        """Whether clients of a team may see and cancel the job.
+
+        :param team: empty for clients without a key.
+        """
+        return self.public or not self.team or self.team == team
+
+    def repeats(self, other: "Submission") -> bool:
+        """Whether the job may have been submitted by the client that submitted another one."""
+        if self.public or other.public:
+            return self.public and other.visible_to("")
+        return self.team == other.team
 
     def critical_path_s(self) -> float:
         """Return the declared run time of the longest chain of dependent steps, in seconds."""
--- a/src/lacewingmill/platform/handlers.py
+++ b/src/lacewingmill/platform/handlers.py
@@ -143,6 +143,7 @@
         tuple(_make_step(number, step) for number, step in enumerate(job.steps)),
         JobTiming(job.times, job.start_at_ms / 1000, job.interval_ms / 1000),
         advised=queue.advice is not None,
+        public=queue.public,
     )
 
 
