--- a/tests/test_takeover_hold_back.py
+++ b/tests/test_takeover_hold_back.py
@@ -337,3 +337,26 @@
     fleet.clock.advance(30.0)
     fleet.check_invariants()
     assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+
+
+# Guards against a gang that is never started again, and an urgent job that waits for its room for
+# good: the gang is evicted while its second member is being adopted.
+def test_a_gang_that_is_evicted_when_its_last_member_is_found_starts_again():
+    fleet = PlatformFleet(vms=3)
+    gang = [step(count=2, gpu=8, gang=True)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=20", seconds=0.5)
+    others = [step(count=2, gpu=8)]
+    run(fleet, fleet.submit, "vm0", "urgent", job_id(9), others, "run_s=30", seconds=0.5)
+    workers = [executor_of(fleet, f"{job_id(1)}.0.0.{index}") for index in range(2)]
+    cut_off(fleet, *workers)
+    replace_owner(fleet)
+    fleet.clock.advance(0.5)
+    reconnect(fleet, workers[0])
+    fleet.clock.advance(0.6)
+    urgent = [step(count=2, gpu=8, gang=True, est_runtime_ms=20000)]
+    run(fleet, fleet.submit, "vm1", "urgent", job_id(2), urgent, "run_s=5", seconds=0.3)
+    reconnect(fleet, workers[1])
+    fleet.clock.advance(90.0)
+    for number, queue in ((1, "ordinary"), (2, "urgent")):
+        assert run(fleet, fleet.state, fleet.owner, queue, job_id(number)) == "completed"
+    fleet.check_invariants()
