Use a worker that starts again by what it is now

What callers see: ROUTE and LOST. A worker that starts again under its id as another kind gets tasks that require its old label, and none that require the new one; tasks are planned on room that it doesn't have.

Cause: the scheduler took labels, rack and size when the worker joined; a changed registration reached the worker's link alone.

Change: when these change, the worker is taken out of the scheduler, with the gangs of its earlier life, and added as it is now.

Suspected by the review, not seen by users.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -105,6 +105,11 @@
         "warning",
         "The machines' workers are not known; silent ones may run until their leases lapse.",
     )
+    WORKER_CHANGED = (
+        435,
+        "warning",
+        "A worker has started again with another size, rack or other labels.",
+    )
     GUARANTEE_SHORTFALL = (340, "error", "A guaranteed shape cannot be reclaimed now.")
 
     def __init__(self, number: int, level: str, meaning: str):
--- a/src/lacewingmill/jobs/worker_pool.py
+++ b/src/lacewingmill/jobs/worker_pool.py
@@ -149,15 +149,27 @@
             self._links[worker] = self._connect(entry)
 
     def _update_entry(self, link: WorkerLink, entry: WorkerEntry) -> None:
-        was_leaving = link.entry.leaving
-        was_listed = link.listed
+        earlier, was_listed = link.entry, link.listed
         link.listed = True
         link.entry = entry
-        if was_listed and entry.leaving == was_leaving:
+        if worker_info_from_entry(entry) != worker_info_from_entry(earlier):
+            self._replace_worker(link)
+        if was_listed and entry.leaving == earlier.leaving:
             return
         self._log.emit(LogEvent.TARGET_LEAVING, target=link.worker, leaving=entry.leaving)
         self._notify_planner(link, WorkerLeaving(link.worker, stays=not entry.leaving))
 
+    def _replace_worker(self, link: WorkerLink) -> None:
+        """Tell the planner that a worker has started again with another size or other labels."""
+        if not link.opened or link.worker not in self._stored_workers:
+            return  # the planner doesn't know it yet
+        self._log.emit(LogEvent.WORKER_CHANGED, worker=link.worker)
+        leaving = link.entry.leaving
+        self._notify_planner(link, WorkerLost(link.worker))
+        self._notify_planner(link, WorkerJoined(worker_info_from_entry(link.entry), leaving))
+        if link.silent:
+            self._notify_planner(link, WorkerSilent(link.worker))
+
     def _handle_unlisted(self, link: WorkerLink) -> None:
         """Handle a worker without a readable registration."""
         if link.listed:
