Elector: signal the owner that overtook a takeover

A VM that was overtaken while it recovered the cell kept itself as the owner in the signal of the job router. It sent its jobs to itself, where they were refused until the owner changed again or their deadlines passed: the callers got 504.

Cause: the higher owner was seen while this VM counted as owner, so it was not signalled, and giving the takeover up did not signal it either. A planned stop in the middle of a takeover, too, left a driver without an owner.

Both tests failed before the change.

--- a/src/lacewingmill/cells/elector.py
+++ b/src/lacewingmill/cells/elector.py
@@ -219,15 +219,28 @@
             self._publish()
 
     def _become_owner(self, fence: Fence, event: LogEvent) -> bool:
-        self._own = OwnerRecord(self._vm, self._control, fence)
-        self._latest = self._own
-        if not self._take_over(fence):
-            self._own = None
+        own = OwnerRecord(self._vm, self._control, fence)
+        self._own = self._latest = own
+        recovered = self._take_over(fence)
+        if not recovered or self._own is not own:
+            self._abandon_takeover(own, recovered)
             return False
-        self.signal.set_owner(self._own)
+        self.signal.set_owner(own)
         self._log.emit(event, fence=attrs.astuple(fence))
         return True
 
+    def _abandon_takeover(self, own: OwnerRecord, recovered: bool) -> None:
+        """Stop a takeover that a higher fence or a planned stop has overtaken.
+
+        An owner seen meanwhile was not signalled, because this VM counted as the owner.
+        """
+        self._own = None
+        if recovered:
+            self._on_lost()
+        if self._latest != own:
+            self.signal.set_owner(self._latest)
+        self._log.emit(LogEvent.CELL_NOT_TAKEN, fence=attrs.astuple(own.fence), to=self._latest.vm)
+
     def _publish(self) -> None:
         """Write the owner record under a new lease unless the stored one has a higher fence."""
         if self._stored is not None and self._stored.fence > self._own.fence:
--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -49,6 +49,7 @@
     CELL_RECOVERED = (303, "info", "A new owner has recovered the gangs on the workers.")
     CELL_HANDED_OVER = (304, "info", "The ownership of the cell was released at a planned stop.")
     CELL_OWNER_UNREADABLE = (305, "error", "The stored owner of the cell cannot be decoded.")
+    CELL_NOT_TAKEN = (306, "info", "A takeover of the cell was given up; gives the known owner.")
     GANG_STARTED = (310, "info", "All members of a gang are running.")
     GANG_REJECTED = (311, "warning", "A gang could not be leased or started; it was released.")
     GANG_EVICTED = (312, "info", "A gang was stopped to free its accelerators for another job.")
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 from fakes import FakeStore, VirtualClock
 
@@ -242,3 +243,45 @@
     harness.run(10.0)
     assert len(harness.owners()) == 1
     assert decode(harness.store.table.get(key).value, OwnerRecord).vm == harness.owners()[0].name
+
+
+# Guards against jobs that never reach their owner: another VM took over while this one recovered
+# the cell, and this one went on to send its jobs to itself.
+def test_a_vm_that_another_one_overtakes_while_it_takes_over_sends_jobs_to_that_one():
+    harness = Harness(1)
+    member, other = harness.members[:2]
+
+    def overtaken(fence):
+        higher = attrs.evolve(fence, epoch=fence.epoch + 1)
+        member.elector.observe_owner(OwnerRecord(other.name, "127.0.0.1:2", higher), other.name)
+        return False
+
+    member.elector._take_over = overtaken
+    member.elector._elect()
+    assert not member.elector.is_owner
+    assert member.elector.signal.record.vm == other.name
+    assert member.elector.signal.record == member.elector.owner
+
+
+# Guards against a driver without an owner: the VM began its planned stop while it recovered the
+# cell.
+@pytest.mark.parametrize("recovered", [True, False])
+def test_a_vm_that_stops_while_it_takes_over_does_not_become_owner(recovered):
+    harness = Harness(1)
+    member = harness.members[0]
+    lost = []
+
+    def stopped(fence):
+        member.elector.hand_over()
+        lost.clear()
+        return recovered
+
+    member.elector._take_over = stopped
+    member.elector._on_lost = lambda: lost.append(True)
+    member.elector._elect()
+    assert not member.elector.is_owner
+    assert bool(lost) == recovered  # a driver that was started is stopped again
+    assert harness.store.table.get(member.elector.key) is None
+    harness.run(8.0)
+    assert len(harness.owners()) == 1
+    assert member.elector.signal.record == harness.owners()[0].elector.owner
