Job router: ask the next owner at a deadline, and say not run only when known

A job that had waited for room until its deadline was answered 504 when its owner handed over shortly before, although it had not run: the router asked only the owner to which it had submitted the job. It now awaits the next owner for up to 3 s and cancels the job there.

An owner to which a job was submitted again called it not run when it had not started it itself; it now does so only if all workers have reported and none has executed a gang of the job.

--- a/src/lacewingmill/cells/driver.py
+++ b/src/lacewingmill/cells/driver.py
@@ -7,7 +7,13 @@
 
 from lacewingmill.cells.alerts import AlertLog
 from lacewingmill.cells.claim_journal import ClaimJournal
-from lacewingmill.cells.gangs import Gang, GangRunner, StartFailure, gang_answer
+from lacewingmill.cells.gangs import (
+    Gang,
+    GangRunner,
+    StartFailure,
+    gang_answer,
+    make_gang_id,
+)
 from lacewingmill.cells.job_claims import JobClaims, JobEntry
 from lacewingmill.cells.job_table import JobTable
 from lacewingmill.cells.messages import JobPhase, JobReport, SubmitJob
@@ -101,7 +107,10 @@
         if existing is not None:
             self._jobs.attach_request(existing, submission)
             return
-        self._jobs.add(submission)
+        entry = self._jobs.add(submission)
+        if submission.deadline_s <= 0:
+            self._cancel(entry, "the deadline passed before this owner knew the job")
+            return
         job = attrs.evolve(submission.job, submitted_at=self._clock.now())
         self.handle_event(JobSubmitted(job))
 
@@ -269,7 +278,7 @@
             self._cancel(entry, "the request body was lost with the VM that received it")
             return
         job = entry.submission.job
-        gang_id = f"{job.job_id}.{self.fence.epoch}.{self.fence.attempt}.{entry.attempts}"
+        gang_id = make_gang_id(job.job_id, self.fence, entry.attempts)
         gang = Gang(gang_id, job.job_id, action.placement)
         entry.gang = gang
         if not job.idempotent and not self._claim(entry, gang):
@@ -379,9 +388,12 @@
         self.handle_event(JobFailed(entry.submission.job.job_id, worker))
 
     def _cancel(self, entry: JobEntry, reason: str) -> None:
-        """Cancel a job: outcome ``NOT_RUN`` if none of its gangs has run, else ``UNKNOWN``."""
+        """Cancel a job: outcome ``NOT_RUN`` if no gang of it has run anywhere, else ``UNKNOWN``."""
         job_id = entry.submission.job.job_id
-        if self._jobs.never_ran(entry):
+        ran_earlier = entry.submission.sent_before and self._claims.ran_earlier(
+            job_id, self.watch.known
+        )
+        if self._jobs.never_ran(entry) and not ran_earlier:
             self._jobs.set_outcome(
                 entry, JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="wait")
             )
--- a/src/lacewingmill/cells/gangs.py
+++ b/src/lacewingmill/cells/gangs.py
@@ -22,7 +22,15 @@
 )
 from lacewingmill.scheduling.messages import Placement
 
-__all__ = ["Gang", "GangRunner", "ReleaseResult", "StartFailure", "gang_answer"]
+__all__ = [
+    "Gang",
+    "GangRunner",
+    "ReleaseResult",
+    "StartFailure",
+    "gang_answer",
+    "job_of",
+    "make_gang_id",
+]
 
 LEASE_TTL_S = 10.0
 ORDER_TIMEOUT_S = 1.0
@@ -196,6 +204,19 @@
                 self._clock.sleep(RELEASE_RETRY_INTERVAL_S)
 
 
+def make_gang_id(job_id: str, fence: Fence, attempt: int) -> str:
+    """Return the id of a gang, unique among all owners.
+
+    :param attempt: number of the job's gangs under this fence, from 1.
+    """
+    return f"{job_id}.{fence.epoch}.{fence.attempt}.{attempt}"
+
+
+def job_of(gang_id: str) -> str:
+    """Return the id of a gang's job."""
+    return gang_id.rsplit(".", 3)[0]
+
+
 def gang_answer(result: bytes, worker: str) -> ApplicationResponse:
     """Return the answer of a finished gang for its client.
 
--- a/src/lacewingmill/cells/job_claims.py
+++ b/src/lacewingmill/cells/job_claims.py
@@ -1,11 +1,13 @@
 """Entries of the job table, and the claims that keep non-idempotent jobs from running twice."""
 
+from collections.abc import Iterable
+
 import attrs
 from gevent.event import Event as Signal
 from gevent.lock import BoundedSemaphore
 
 from lacewingmill.cells.claim_journal import ClaimJournal, claim_key
-from lacewingmill.cells.gangs import Gang
+from lacewingmill.cells.gangs import Gang, job_of
 from lacewingmill.cells.messages import ClaimRecord, JobReport, SubmitJob
 from lacewingmill.exceptions import StoreConflict
 from lacewingmill.models import Fence
@@ -73,6 +75,17 @@
         executed = frozenset(lease.gang for lease in leases if lease.executed)
         self._executed_gangs.setdefault(worker, executed)
 
+    def ran_earlier(self, job_id: str, workers: Iterable[str]) -> bool:
+        """Return whether the job may have run under an earlier owner.
+
+        :param workers: the workers of the cell; one that has not reported yet may run the job.
+        """
+        reports = [self._executed_gangs.get(worker) for worker in workers]
+        return any(
+            executed is None or any(job_of(gang) == job_id for gang in executed)
+            for executed in reports
+        )
+
     def claim(self, entry: JobEntry, gang: Gang) -> ClaimResult:
         """Claim a job for a gang before any order is sent.
 
--- a/src/lacewingmill/cells/messages.py
+++ b/src/lacewingmill/cells/messages.py
@@ -34,6 +34,7 @@
 
     :param key: idempotency key of the request.
     :param deadline_s: how long the client still waits, in seconds.
+    :param sent_before: whether an earlier owner may have received the job.
     """
 
     job: Job
@@ -41,6 +42,7 @@
     body: bytes
     content_type: str
     deadline_s: float
+    sent_before: bool = False
 
 
 @attrs.frozen
--- a/src/lacewingmill/cells/worker_watch.py
+++ b/src/lacewingmill/cells/worker_watch.py
@@ -90,6 +90,11 @@
             elif previous.state is not vm.state and name in self._live:
                 self._listener.on_worker_leaving(name, stays=vm.state is VmState.LIVE)
 
+    @property
+    def known(self) -> tuple[str, ...]:
+        """The names of all listed workers, also of those that are lost or have not joined."""
+        return tuple(self._known)
+
     def find(self, worker: str) -> Vm | None:
         """Return a live worker, or ``None`` if it is lost or has not joined."""
         return self._live.get(worker)
--- a/src/lacewingmill/routing/jobs.py
+++ b/src/lacewingmill/routing/jobs.py
@@ -25,6 +25,8 @@
 
 LONG_POLL_S = 2.0
 RETRY_DELAY_S = 0.3
+# How long after a job's deadline its outcome is still asked for: a hand-over takes up to this time.
+OUTCOME_GRACE_S = 3.0
 JOB_ID_HEX_DIGITS = 24
 
 Result = TypeVar("Result")
@@ -116,8 +118,10 @@
             cell = self._connect(owner)
             try:
                 if owner != submitted_to:
+                    updated = attrs.evolve(
+                        submission, deadline_s=remaining_s, sent_before=ever_sent
+                    )
                     ever_sent = True
-                    updated = attrs.evolve(submission, deadline_s=remaining_s)
                     self._call_owner(owner, lambda c=cell, s=updated: c.submit(s))
                     submitted_to = owner
                 wait_s = min(LONG_POLL_S, remaining_s)
@@ -131,7 +135,10 @@
                 submitted_to = None
             elif report.phase.final:
                 return report
-        return self._report_at_deadline(job_id, ever_sent, submitted_to)
+        if not ever_sent:
+            reason = "no owner of the cell could be reached before the deadline"
+            return JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="submit")
+        return self._end_at_deadline(submission, submitted_to)
 
     def poll(self, job_id: str, wait_s: float) -> JobReport | None:
         """Return the report of a job from the current owner.
@@ -183,32 +190,40 @@
             raise NotOwner("no owner of the cell is known", step="find owner")
         return owner
 
-    def _report_at_deadline(
-        self, job_id: str, ever_sent: bool, submitted_to: OwnerRecord | None
+    def _end_at_deadline(
+        self, submission: SubmitJob, submitted_to: OwnerRecord | None
     ) -> JobReport:
-        """Return the report of a job that had not ended by its deadline.
+        """Cancel a job that had not ended by its deadline and return its report.
 
-        Once the job was sent, only the owner can confirm that it did not run, so it is cancelled
-        there and its report read again.
+        Only the owner can confirm that the job did not run. While the owner changes, the next one
+        is awaited for up to ``OUTCOME_GRACE_S``.
         """
-        if not ever_sent:
-            reason = "no owner of the cell could be reached before the deadline"
-            return JobReport(job_id, JobPhase.NOT_RUN, reason=reason, step="submit")
+        job_id = submission.job.job_id
+        end = self._clock.now() + OUTCOME_GRACE_S
+        while True:
+            owner = self._owner.record
+            try:
+                if owner != submitted_to:
+                    expired = attrs.evolve(submission, deadline_s=0.0, sent_before=True)
+                    self._call_owner(owner, lambda o=owner, s=expired: self._connect(o).submit(s))
+                    submitted_to = owner
+                report = self._call_owner(owner, lambda o=owner: self._cancel_at(o, job_id))
+                if report is not None and report.phase.final:
+                    return report
+            except (NotOwner, TransportError):
+                submitted_to = None
+            remaining_s = end - self._clock.now()
+            if remaining_s <= 0:
+                break
+            if self._owner.record == owner:
+                self._wait_for_owner_change(min(RETRY_DELAY_S, remaining_s))
         reason = "the deadline passed before the job's outcome was known"
-        peer = submitted_to.vm if submitted_to else ""
-        if submitted_to is not None:
-            report = self._cancel_and_report(submitted_to, job_id)
-            if report is not None and report.phase.final:
-                return report
-        return JobReport(job_id, JobPhase.UNKNOWN, reason=reason, step="wait", peer=peer)
+        return JobReport(job_id, JobPhase.UNKNOWN, reason=reason, step="wait", peer=owner.vm)
 
-    def _cancel_and_report(self, owner: OwnerRecord, job_id: str) -> JobReport | None:
-        try:
-            cell = self._connect(owner)
-            cell.cancel(job_id)
-            return cell.report(job_id, 0.0)
-        except (NotOwner, TransportError):
-            return None
+    def _cancel_at(self, owner: OwnerRecord, job_id: str) -> JobReport | None:
+        cell = self._connect(owner)
+        cell.cancel(job_id)
+        return cell.report(job_id, 0.0)
 
 
 def _result_or_error(call: Callable[[], Result]) -> Result | LacewingmillError:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -1,6 +1,7 @@
 """Tests of the cell driver on virtual time: starts, claims, lost workers, fencing and recovery."""
 
 import attrs
+import gevent
 import pytest
 from fakes import FakeStore, FakeWorkers, VirtualClock, make_workers
 
@@ -48,7 +49,11 @@
         cell = Cell(deps, lambda: None)
         cell.set_workers(self.vms)
         cell.set_services(SERVICES)
-        assert cell.take_over(Fence(epoch, 0))
+        call = gevent.spawn(cell.take_over, Fence(epoch, 0))
+        self.clock.settle()
+        while not call.ready():  # a silent worker holds the recovery up
+            self.clock.advance(0.5)
+        assert call.get()
         self.clock.advance(0.5)
         return cell
 
@@ -369,3 +374,29 @@
     harness.clock.advance(10.0)
     assert harness.workers.executions
     assert phase_of(cell, "j") is JobPhase.UNKNOWN
+
+
+# Guards against a job called not run by an owner that cannot know it: its gang runs on a worker
+# that does not answer, or ran under the owner before.
+@pytest.mark.parametrize("silent", [True, False])
+def test_a_new_owner_calls_an_expired_job_not_run_only_if_no_worker_can_have_run_it(
+    harness, silent
+):
+    first = harness.take_over("vm0", 1)
+    first.submit(make_submission("ran", ONE))
+    harness.clock.advance(1.0)
+    ran_on = harness.workers.started[0][1]
+    if silent:
+        harness.workers.silent.add(ran_on)
+    else:
+        first.cancel("ran")
+        harness.clock.advance(1.0)
+    first.stop_driver()
+    second = harness.take_over("vm1", 2)
+    for name in ("ran", "waited"):
+        submission = make_submission(name, ONE, deadline=0.0)
+        second.submit(attrs.evolve(submission, sent_before=True))
+    assert phase_of(second, "ran") is JobPhase.UNKNOWN
+    assert phase_of(second, "waited") is (JobPhase.UNKNOWN if silent else JobPhase.NOT_RUN)
+    harness.clock.advance(5.0)
+    assert len(harness.workers.started) == 1
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -11,12 +11,12 @@
 from lacewingmill.cells.claim_journal import ClaimJournal
 from lacewingmill.cells.driver import CellDependencies
 from lacewingmill.cells.elector import Elector
-from lacewingmill.cells.messages import SubmitJob
+from lacewingmill.cells.messages import JobPhase, SubmitJob
 from lacewingmill.events import EventLog
 from lacewingmill.exceptions import CallTimeout, ConnectFailed, StoreUnavailable
 from lacewingmill.membership.view import FleetView, PeerState
 from lacewingmill.models import Adjacency, Guarantee, Role, Service, Shape, Team, Vm
-from lacewingmill.routing.jobs import JobRouter
+from lacewingmill.routing.jobs import OUTCOME_GRACE_S, JobRouter
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.scheduler import Scheduler
 
@@ -142,16 +142,22 @@
     def owner(self):
         return next(vm for vm in self.vms.values() if not vm.dead and vm.elector.is_owner)
 
-    def submit(self, vm, name, team, shape, *, claims):
+    def submit(self, vm, name, team, shape, *, claims, deadline_s=900.0):
         job = Job(name, "svc", team, shape, claims, True, True, 0.0)
-        submission = SubmitJob(job, f"key-{name}", b"{}", "application/json", 900.0)
-        gevent.spawn(vm.router.submit_and_wait, submission, self.clock.now() + 900.0)
+        submission = SubmitJob(job, f"key-{name}", b"{}", "application/json", deadline_s)
+        deadline = self.clock.now() + deadline_s
+        return gevent.spawn(vm.router.submit_and_wait, submission, deadline)
 
     def running(self, name):
         rows = [item for table in self.workers.tables.values() for item in table.rows.items()]
         return any(gang.startswith(f"{name}.") and row.state == "running" for gang, row in rows)
 
 
+def fill_workers(harness, vms):
+    for number in range(48):
+        harness.submit(vms[number % len(vms)], f"b{number}", "u", ONE, claims=False)
+
+
 def start_delays(seed, *, refuses, fault):
     """Kill the owner of a full cluster and measure how long guaranteed jobs take to start.
 
@@ -163,8 +169,7 @@
     harness.clock.advance(5.0)
     owner = harness.owner
     others = [vm for vm in harness.vms.values() if vm is not owner]
-    for number in range(48):
-        harness.submit(others[number % len(others)], f"b{number}", "u", ONE, claims=False)
+    fill_workers(harness, others)
     harness.clock.advance(3.0 + harness.rng.random())
     claims = {"c0": -1.2 * harness.rng.random(), "c1": 4.0 * harness.rng.random()}
     submitted, delays = {}, {}
@@ -193,3 +198,22 @@
 def test_guaranteed_job_starts_in_time_when_the_owner_fails(seed, refuses, fault):
     delays = start_delays(seed, refuses=refuses, fault=fault)
     assert max(delays.values()) <= START_LIMIT_S, delays
+
+
+# Guards against a job called unknown that never ran, because its owner handed over at its deadline.
+@pytest.mark.parametrize("at_owner", [True, False])
+@pytest.mark.parametrize("before_s", [0.05, 0.5, 1.0, 2.0])
+def test_a_job_that_waits_until_its_deadline_at_a_hand_over_is_called_not_run(before_s, at_owner):
+    harness = Harness(1, refuses=True)
+    harness.clock.advance(5.0)
+    owner = harness.owner
+    others = [vm for vm in harness.vms.values() if vm is not owner]
+    fill_workers(harness, others)
+    harness.clock.advance(3.0)
+    vm = owner if at_owner else others[0]
+    call = harness.submit(vm, "late", "u", ONE, claims=False, deadline_s=20.0)
+    harness.clock.advance(20.0 - before_s)
+    owner.elector.hand_over()
+    harness.clock.advance(before_s + OUTCOME_GRACE_S + 0.1)
+    assert call.ready()
+    assert call.value.phase is JobPhase.NOT_RUN, call.value
