--- a/tests/platform_fleet.py
+++ b/standins/platform/fleet.py
@@ -5,16 +5,13 @@
 
 from lacewingmill.job_composition import VmEnvironment, build_job_vm
 from lacewingmill.jobs.settings import JobVmSettings, PlatformLimits
-from standins.platform import (
-    EmulatedNetwork,
-    Executor,
-    KvStore,
-    Operator,
-    RunHistory,
-    configuration,
-)
-from standins.platform.operator import HOST, SERVICE
-from tests.fakes import VirtualClock
+from standins.platform.executors import Executor, RunHistory, SubmittedJob
+from standins.platform.kv import KvStore
+from standins.platform.network import EmulatedNetwork
+from standins.platform.operator import HOST, SERVICE, Operator, configuration
+from standins.virtual_clock import VirtualClock
+
+__all__ = ["STORE", "PlatformFleet", "job_id", "step", "wait_for_owner"]
 
 STORE = "10.9.0.1:1"
 ADVISOR = "10.9.0.2:1"
@@ -30,7 +27,7 @@
     :param slow_links: names of the VMs that have a slow network link.
     """
 
-    def __init__(self, vms=2, executors=4, slow_links=()):
+    def __init__(self, vms: int = 2, executors: int = 4, slow_links: tuple[str, ...] = ()):
         self.slow_links = slow_links
         self.clock = VirtualClock()
         self.kv = KvStore(self.clock)
@@ -50,7 +47,8 @@
             self.start_vm(f"vm{number}")
         self.clock.advance(1.5)
 
-    def add_executor(self, number):
+    def add_executor(self, number: int) -> Executor:
+        """Start an executor and register it."""
         address = f"10.8.0.{number}:1"
         entry = {
             "service": SERVICE,
@@ -64,7 +62,8 @@
         self.operator.register(executor)
         return executor
 
-    def start_vm(self, name):
+    def start_vm(self, name: str) -> None:
+        """Start a VM with empty memory."""
         http_client = self.network.client(name)
         settings = JobVmSettings(
             name,
@@ -87,7 +86,7 @@
         self.vms[name] = vm
         self.http_clients[name] = http_client
 
-    def kill(self, name):
+    def kill(self, name: str) -> None:
         """Stop a VM as a power loss would: its state is lost and its open calls are aborted."""
         self.http_clients[name].alive = False
         vm = self.vms.pop(name)
@@ -97,7 +96,7 @@
                 del self.network.servers[address]
 
     @property
-    def owner(self):
+    def owner(self) -> str | None:
         """Name of the VM that directs the jobs."""
         owners = [
             name
@@ -106,7 +105,15 @@
         ]
         return owners[0] if owners else None
 
-    def call(self, vm, method, path, body=None, key="key-a", host=HOST):
+    def call(
+        self,
+        vm: str,
+        method: str,
+        path: str,
+        body: dict | bytes | None = None,
+        key: str = "key-a",
+        host: str = HOST,
+    ) -> tuple[int, dict, dict]:
         """Send a client's request to a VM; return status, decoded body and headers."""
         server = self.network.servers[f"{vm}:80"]
         data = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
@@ -118,23 +125,24 @@
         reply = server.call(method, path, headers, data)
         return reply.status, json.loads(reply.body), reply.headers
 
-    def submit(self, vm, queue, job_id, steps, spec="run_s=1"):
-        self.run_history.jobs.setdefault(job_id, self.make_submitted_job(steps))
+    def submit(
+        self, vm: str, queue: str, job_id: str, steps: list[dict], spec: str = "run_s=1"
+    ) -> int:
+        """Submit a job to a VM and return the status.
+
+        :param spec: behaviour of its tasks, as the emulated executors read it.
+        """
+        self.run_history.jobs.setdefault(job_id, SubmittedJob(steps))
         status, _, _ = self.call(vm, "POST", f"/{queue}/{job_id}", {"spec": spec, "steps": steps})
         self.run_history.jobs[job_id].accepted |= status == 200
         return status
 
-    @staticmethod
-    def make_submitted_job(steps):
-        from standins.platform.executors import SubmittedJob
-
-        return SubmittedJob(steps)
-
-    def state(self, vm, queue, job_id):
+    def state(self, vm: str, queue: str, job_id: str) -> str | int:
+        """Return the state of a job as a VM tells it, or the status if it does not."""
         status, body, _ = self.call(vm, "GET", f"/{queue}/{job_id}")
         return body["state"] if status == 200 else status
 
-    def check_invariants(self):
+    def check_invariants(self) -> None:
         """Check that no task ran twice at once, or again after its end was acknowledged."""
         for executor in self.executors:
             executor.advance()
@@ -142,15 +150,21 @@
         assert [(run.task, run.number) for run in self.run_history.runs_after_done()] == []
 
 
-def step(count=1, gpu=1, cpu=1000, **fields):
+def step(count: int = 1, gpu: int = 1, cpu: int = 1000, **fields) -> dict:
+    """Return a step as clients submit it."""
     return {"count": count, "gpu": gpu, "cpu": cpu, "mem_mb": 1024, "est_runtime_ms": 1000} | fields
 
 
-def job_id(number):
+def job_id(number: int) -> str:
+    """Return a valid job id."""
     return f"{number:016x}"
 
 
-def wait_for_owner(fleet, seconds=6.0):
+def wait_for_owner(fleet: PlatformFleet, seconds: float = 6.0) -> None:
+    """Advance the clock until a VM directs the jobs.
+
+    :raises AssertionError: when none does within this time, in seconds.
+    """
     for _ in range(int(seconds / 0.1)):
         if fleet.owner is not None:
             return
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,7 @@
 gevent.config.resolver = "block"
 
 from standins.fleet import GUILD, WASCHPLAN, Fleet  # noqa: E402
-from tests.platform_fleet import PlatformFleet  # noqa: E402
+from standins.platform.fleet import PlatformFleet  # noqa: E402
 
 _BASE_PORTS = itertools.count(21000, 300)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,10 +1,6 @@
 """In-process implementations of the ports, on a clock that tests advance."""
 
-import heapq
-import itertools
-
 import gevent
-from gevent.event import Event
 
 from lacewingmill.adapters.targets import ReleaseOrder
 from lacewingmill.exceptions import (
@@ -20,59 +16,6 @@
 from standins.store import StoreTable
 from standins.workers import LeaseConflict, LeaseTable, StaleFence
 
-SETTLE_YIELDS = 30
-
-
-class VirtualClock:
-    """A clock that stands still until a test advances it."""
-
-    def __init__(self):
-        self.time = 1000.0
-        self._sequence = itertools.count()
-        self._sleepers = []
-
-    def now(self):
-        return self.time
-
-    def wall(self):
-        return self.time
-
-    def sleep(self, seconds):
-        woken = Event()
-        heapq.heappush(self._sleepers, (self.time + seconds, next(self._sequence), woken))
-        woken.wait()
-
-    def wait(self, event, seconds):
-        woken = Event()
-        heapq.heappush(self._sleepers, (self.time + seconds, next(self._sequence), woken))
-        event.rawlink(lambda _: woken.set())
-        woken.wait()
-        return event.is_set()
-
-    def settle(self):
-        """Let all greenlets run until they wait."""
-        for _ in range(SETTLE_YIELDS):
-            gevent.sleep(0)
-
-    def advance(self, seconds):
-        """Advance the time and wake each sleeper at its time, in order."""
-        end = self.time + seconds
-        self.settle()
-        while self._sleepers and self._sleepers[0][0] <= end:
-            at, _, woken = heapq.heappop(self._sleepers)
-            self.time = max(self.time, at)
-            woken.set()
-            self.settle()
-        self.time = end
-        self.settle()
-
-    def jump(self, seconds):
-        """Advance the time as if this process were paused: all due sleepers wake late, at once."""
-        self.time += seconds
-        while self._sleepers and self._sleepers[0][0] <= self.time:
-            heapq.heappop(self._sleepers)[2].set()
-        self.settle()
-
 
 def make_workers(count=6, accelerators=8, per_rack=3):
     """Return workers in racks, each rack a failure domain."""
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -1,7 +1,7 @@
 """Publishing: conflicts, lost answers and outages of the store, revisions that never decrease."""
 
 import pytest
-from fakes import FakeStore, VirtualClock, make_workers
+from fakes import FakeStore, make_workers
 
 from lacewingmill.catalogue.current import CatalogueBundle, CurrentCatalogue
 from lacewingmill.catalogue.packing import check_packing
@@ -11,6 +11,7 @@
 from lacewingmill.membership.view import FleetView
 from lacewingmill.models import CatalogueIndex, Guarantee, Route, RouteKind, Service, Shape, Team
 from lacewingmill.operations import Operations, PublishRequest
+from standins.virtual_clock import VirtualClock
 
 
 def service(name="svc", count=1, path="/p"):
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -3,7 +3,7 @@
 import attrs
 import gevent
 import pytest
-from fakes import FakeStore, FakeWorkers, VirtualClock, make_workers
+from fakes import FakeStore, FakeWorkers, make_workers
 
 from lacewingmill.cells.cell import Cell
 from lacewingmill.cells.claim_journal import ClaimJournal
@@ -14,6 +14,7 @@
 from lacewingmill.models import Adjacency, Fence, Guarantee, Service, Shape, Team, VmState
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.scheduler import Scheduler
+from standins.virtual_clock import VirtualClock
 
 WHOLE = Shape("whole", 8, Adjacency.WORKER, 4, 16, 5.0)
 WIDE = Shape("wide", 16, Adjacency.RACK, 4, 16, 5.0)
--- a/tests/test_failure_avoidance.py
+++ b/tests/test_failure_avoidance.py
@@ -15,7 +15,7 @@
     WorkerInfo,
     WorkerJoined,
 )
-from tests.platform_fleet import job_id, step, wait_for_owner
+from standins.platform.fleet import job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 # Users count a job as lost that has nothing running for this long although workers are idle.
--- a/tests/test_gang_failures.py
+++ b/tests/test_gang_failures.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 # Users count a job as lost that has nothing running for this long although workers are idle. A
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,13 +1,14 @@
 """Tests of the cell's history: batched writes, store outages, lost answers and reading."""
 
 import pytest
-from fakes import FakeStore, VirtualClock
+from fakes import FakeStore
 
 from lacewingmill.cells import history as history_module
 from lacewingmill.cells.history import History
 from lacewingmill.codec import decode
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.store_keys import HISTORY_PREFIX
+from standins.virtual_clock import VirtualClock
 
 
 class Harness:
--- a/tests/test_job_graph.py
+++ b/tests/test_job_graph.py
@@ -8,7 +8,7 @@
 
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.model import JobState, JobTiming, Step, Submission, TaskId
-from tests.platform_fleet import job_id, step, wait_for_owner
+from standins.platform.fleet import job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 # Other requests wait while one thread handles a job. Users expect health checks to be answered
--- a/tests/test_lease_clock.py
+++ b/tests/test_lease_clock.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lacewingmill.jobs.lease_clock import LeaseClock
-from tests.fakes import VirtualClock
+from standins.virtual_clock import VirtualClock
 
 LONGEST_S = 6.0
 SLOWEST = 0.98
--- a/tests/test_log_story.py
+++ b/tests/test_log_story.py
@@ -9,7 +9,7 @@
 from lacewingmill.cli import ExitCode, main
 from lacewingmill.events import configure_logging
 from lacewingmill.log_search import search_logs
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,8 +10,8 @@
 from lacewingmill.exceptions import DocumentInvalid
 from lacewingmill.jobs.ports import Record
 from lacewingmill.platform import decode_worker
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from standins.platform.operator import SERVICE
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 ENTRY = {
--- a/tests/test_ordinary.py
+++ b/tests/test_ordinary.py
@@ -4,7 +4,7 @@
 
 import gevent
 import pytest
-from fakes import FakeExecutors, FakeStore, VirtualClock
+from fakes import FakeExecutors, FakeStore
 
 from lacewingmill.cells.claim_journal import ClaimJournal
 from lacewingmill.events import EventLog
@@ -14,6 +14,7 @@
 from lacewingmill.routing.executors import ExecutorPool
 from lacewingmill.routing.ordinary import ClientRequest, OrdinaryRouter
 from lacewingmill.routing.team_queue import TeamQueue, Waiter
+from standins.virtual_clock import VirtualClock
 
 STOCK = Route("/stock", RouteKind.ORDINARY, idempotent=True, deadline_s=5.0)
 ORDER = Route("/order", RouteKind.ORDINARY, idempotent=False, deadline_s=5.0)
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lacewingmill.retries import Backoff
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 VMS = 300
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -4,7 +4,7 @@
 
 import attrs
 import pytest
-from fakes import FakeStore, VirtualClock
+from fakes import FakeStore
 
 from lacewingmill.cells.elector import Elector
 from lacewingmill.codec import decode, encode
@@ -12,6 +12,7 @@
 from lacewingmill.exceptions import StoreUnavailable
 from lacewingmill.membership.view import FleetView, PeerState
 from lacewingmill.models import Fence, OwnerRecord, Role, Vm, VmState
+from standins.virtual_clock import VirtualClock
 
 VMS = 4
 STEP_S = 0.25
--- a/tests/test_platform_advice.py
+++ b/tests/test_platform_advice.py
@@ -1,6 +1,6 @@
 """Units that only some workers may run, when workers come and go while they wait; virtual time."""
 
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 BATCH = [step(count=5), step(count=2, after=[0])]
--- a/tests/test_platform_mixes.py
+++ b/tests/test_platform_mixes.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent.event import Event
 
-from tests.platform_fleet import STORE, PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import STORE, PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 # Twelve arbitrary seeds and those that once failed: 29 (a worker was not polled after its starts
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,7 +3,7 @@
 import gevent
 
 from standins.platform import configuration
-from tests.platform_fleet import job_id, step
+from standins.platform.fleet import job_id, step
 
 
 def run(fleet, call, *args, seconds=3.0):
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -4,7 +4,7 @@
 import gevent
 
 from lacewingmill.jobs.director import FIRST_CONTACT_TIMEOUT_S
-from tests.platform_fleet import STORE, PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import STORE, PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 
--- a/tests/test_platform_releases.py
+++ b/tests/test_platform_releases.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 
 SEEDS = range(6)
 WORKERS = 8
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,7 +3,7 @@
 import pytest
 
 from standins.platform import configuration
-from tests.platform_fleet import job_id, step, wait_for_owner
+from standins.platform.fleet import job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 # Two VMs watch the configuration and the owner; the owner also polls the store and renews leases.
--- a/tests/test_platform_takeovers.py
+++ b/tests/test_platform_takeovers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from standins.platform import executors
-from tests.platform_fleet import job_id, step, wait_for_owner
+from standins.platform.fleet import job_id, step, wait_for_owner
 from tests.test_platform_mixes import SUBMIT_ATTEMPTS, ClientJob, FailureScenario
 from tests.test_platform_path import run
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -16,13 +16,13 @@
 import gevent
 import pytest
 import structlog
-from fakes import VirtualClock
 
 from lacewingmill.events import EventLog, configure_logging
 from lacewingmill.exceptions import SettingsError
 from lacewingmill.serving import SETTINGS_TIMEOUT_S, wait_for_settings
 from lacewingmill.settings_file import CHECK_INTERVAL_S, SettingsFile, SettingsFollower
 from standins.platform import format_settings
+from standins.virtual_clock import VirtualClock
 
 ROOT = Path(__file__).parent.parent
 LAUNCH = ROOT / "deploy" / "launch.py"
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,7 +4,7 @@
 
 import gevent
 import pytest
-from fakes import FakeStore, FakeWorkers, VirtualClock, make_workers
+from fakes import FakeStore, FakeWorkers, make_workers
 
 from lacewingmill.adapters.peers import CALL_TIMEOUT_S, LONG_POLL_MARGIN_S
 from lacewingmill.cells.cell import Cell
@@ -19,6 +19,7 @@
 from lacewingmill.routing.jobs import OUTCOME_GRACE_S, JobRouter
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.scheduler import Scheduler
+from standins.virtual_clock import VirtualClock
 
 START_LIMIT_S = 5.6
 CHECKPOINT_S = 1.0
--- a/tests/test_takeover_hold_back.py
+++ b/tests/test_takeover_hold_back.py
@@ -4,7 +4,7 @@
 import pytest
 
 from standins.platform import executors
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 # A worker on which nothing renews a lease keeps its runs for 6 s; a new owner waits a little longer
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -6,12 +6,12 @@
 import gevent
 import pytest
 import structlog
-from fakes import VirtualClock
 
 from lacewingmill.events import EventLog, configure_logging
 from lacewingmill.tasks import LOOP_RESTART_DELAY_S, keep_running, log_failed_tasks
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from standins.platform.operator import SERVICE
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.virtual_clock import VirtualClock
 
 
 @pytest.fixture
--- a/tests/test_vm.py
+++ b/tests/test_vm.py
@@ -4,13 +4,13 @@
 from types import SimpleNamespace
 
 import attrs
-from fakes import VirtualClock
 
 from lacewingmill.adapters.store import StoreUsage
 from lacewingmill.events import EventLog
 from lacewingmill.membership.view import FleetView, PeerState
 from lacewingmill.settings import load_settings
 from lacewingmill.vm import EntryVm
+from standins.virtual_clock import VirtualClock
 
 STOP_DRAIN_S = 1.0
 
--- a/tests/test_worker_reborn.py
+++ b/tests/test_worker_reborn.py
@@ -1,6 +1,6 @@
 """Workers that start again under their id as another kind; virtual time."""
 
-from tests.platform_fleet import PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 
