--- /dev/null
+++ b/standins/platform/faults.py
@@ -0,0 +1,172 @@
+"""Faults of an emulated fleet: each begins now and most end by themselves after a while."""
+
+import random
+from collections.abc import Callable, Iterable
+
+import gevent
+
+from standins.platform.executors import Executor
+from standins.platform.fleet import STORE, PlatformFleet
+
+__all__ = ["FAULTS", "PlatformFaults"]
+
+FAULT_S = 3.0
+SHORT_CUT_S = (0.5, 2.5)
+LATE_ORDER_S = 2.5
+
+
+class PlatformFaults:
+    """Injects faults into a fleet.
+
+    The names of the public methods are the names of the faults.
+
+    :param rng: draws the VMs and executors concerned.
+    """
+
+    def __init__(self, fleet: PlatformFleet, rng: random.Random):
+        self._fleet = fleet
+        self._rng = rng
+
+    def kill_owner(self) -> None:
+        """Kill the VM that directs the jobs, and start it again later."""
+        if self._fleet.owner:
+            self._kill(self._fleet.owner)
+
+    def kill_all(self) -> None:
+        """Kill all VMs and start them again later."""
+        for vm in list(self._fleet.vms):
+            self._kill(vm)
+
+    def store_down(self) -> None:
+        """Let the store respond with 503."""
+        self._set_store_fault("down", True, False)
+
+    def store_silent(self) -> None:
+        """Let the store respond to nothing."""
+        self._set_store_fault("silent", True, False)
+
+    def store_ignores_watches(self) -> None:
+        """Let the store respond to no watch."""
+        self._set_store_fault("deaf", True, False)
+
+    def store_loses_answers(self) -> None:
+        """Lose the responses to the next transactions, and apply one late."""
+        self._fleet.kv.faults.lose_writes = 2
+        self._fleet.kv.faults.late_writes = 1
+
+    def store_discards_history(self) -> None:
+        """Let the store forget its past changes."""
+        self._fleet.kv.discard_history()
+
+    def store_refuses_vm(self) -> None:
+        """Let the store refuse the calls of one VM."""
+        vm = self._rng.choice(sorted(self._fleet.http_clients))
+        self._fleet.kv.faults.rejected_clients.add(vm)
+        self._undo_later(lambda: self._fleet.kv.faults.rejected_clients.discard(vm))
+
+    def cut_vm(self) -> None:
+        """Cut a VM off from the store and the other VMs; it reaches the executors."""
+        clients = self._fleet.http_clients
+        vm = self._rng.choice(sorted(clients))
+        others = {f"{other}:82" for other in clients if other != vm}
+        pairs = {(vm, address) for address in others | {STORE}}
+        pairs |= {(other, f"{vm}:82") for other in clients if other != vm}
+        self._cut(pairs, FAULT_S)
+
+    def cut_worker(self) -> None:
+        """Cut an executor off from all VMs."""
+        self._cut(self._paths_to([self._random_executor()]), FAULT_S)
+
+    def cut_workers(self) -> None:
+        """Cut some executors off from all VMs for a moment."""
+        cut_off = self._rng.sample(self._fleet.executors, self._rng.randint(2, 4))
+        self._cut(self._paths_to(cut_off), self._rng.uniform(*SHORT_CUT_S))
+
+    def cut_workers_and_kill_owner(self) -> None:
+        """Cut some executors off for a moment while the owner is killed."""
+        self.cut_workers()
+        self.kill_owner()
+
+    def crash_worker(self) -> None:
+        """Let an executor crash and start again."""
+        worker = self._random_executor()
+        worker.crash()
+        self._fleet.operator.register(worker)
+
+    def drain_worker(self) -> None:
+        """Drain an executor for a while."""
+        worker = self._random_executor()
+        self._fleet.operator.register(worker, state="draining")
+        self._undo_later(lambda: self._fleet.operator.register(worker))
+
+    def unlist_worker(self) -> None:
+        """Remove the entry of an executor that runs on."""
+        worker = self._random_executor()
+        self._fleet.operator.register(worker, state=self._rng.choice(["ready", "draining"]))
+        self._fleet.operator.unregister(worker)
+        self._undo_later(lambda: self._fleet.operator.register(worker))
+
+    def fail_worker(self) -> None:
+        """Let an executor fail all that it starts."""
+        worker = self._random_executor()
+        worker.failing = True
+        self._undo_later(lambda: setattr(worker, "failing", False))
+
+    def delay_orders(self) -> None:
+        """Delay the orders to an executor beyond their timeouts."""
+        worker = self._random_executor().name
+        self._fleet.network.late_orders[worker] = LATE_ORDER_S
+        self._undo_later(lambda: self._fleet.network.late_orders.pop(worker, None))
+
+    def lose_order_answers(self) -> None:
+        """Lose the responses to the next orders and polls of an executor."""
+        worker = self._random_executor().name
+        self._fleet.network.lost_responses[worker] = 2
+        self._fleet.network.lost_holds[worker] = 2
+
+    def reset_polls(self) -> None:
+        """Reset the connections of the next polls of an executor."""
+        self._fleet.network.reset_holds[self._random_executor().name] = 2
+
+    def slow_worker(self) -> None:
+        """Delay the responses of an executor for a while."""
+        address = self._random_executor().entry["addr"]
+        self._fleet.network.slow_servers[address] = self._rng.uniform(0.2, 0.8)
+        self._undo_later(lambda: self._fleet.network.slow_servers.pop(address, None))
+
+    def worker_refuses_starts(self) -> None:
+        """Let an executor refuse all starts for a while."""
+        worker = self._random_executor()
+        worker.rejects_starts = True
+        self._undo_later(lambda: setattr(worker, "rejects_starts", False))
+
+    def _random_executor(self) -> Executor:
+        return self._rng.choice(self._fleet.executors)
+
+    def _paths_to(self, executors: Iterable[Executor]) -> set[tuple[str, str]]:
+        clients = self._fleet.http_clients
+        return {(vm, each.entry["addr"]) for vm in clients for each in executors}
+
+    def _cut(self, pairs: set[tuple[str, str]], duration_s: float) -> None:
+        self._fleet.network.cut |= pairs
+        self._undo_later(
+            lambda: self._fleet.network.cut.difference_update(pairs), after_s=duration_s
+        )
+
+    def _kill(self, vm: str) -> None:
+        self._fleet.kill(vm)
+        self._undo_later(lambda: self._fleet.start_vm(vm))
+
+    def _set_store_fault(self, name: str, value, normal) -> None:
+        setattr(self._fleet.kv.faults, name, value)
+        self._undo_later(lambda: setattr(self._fleet.kv.faults, name, normal))
+
+    def _undo_later(self, undo: Callable[[], None], after_s: float = FAULT_S) -> None:
+        def wait_and_undo():
+            self._fleet.clock.sleep(after_s)
+            undo()
+
+        gevent.spawn(wait_and_undo)
+
+
+FAULTS = tuple(name for name in vars(PlatformFaults) if not name.startswith("_"))
--- a/tests/test_platform_mixes.py
+++ b/tests/test_platform_mixes.py
@@ -7,7 +7,8 @@
 import pytest
 from gevent.event import Event
 
-from standins.platform.fleet import STORE, PlatformFleet, job_id, step, wait_for_owner
+from standins.platform.faults import FAULT_S, PlatformFaults
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 # Twelve arbitrary seeds and those that once failed: 29 (a worker was not polled after its starts
@@ -16,7 +17,22 @@
 SEEDS = (*range(12), 29, 33)
 SCENARIO_S = 24.0
 MAX_FAULT_INTERVAL_S = 2.5
-FAULT_S = 3.0
+FAULT_NAMES = (
+    "kill_owner",
+    "kill_all",
+    "store_down",
+    "store_silent",
+    "store_ignores_watches",
+    "store_loses_answers",
+    "store_discards_history",
+    "store_refuses_vm",
+    "cut_vm",
+    "cut_worker",
+    "crash_worker",
+    "drain_worker",
+    "delay_orders",
+    "lose_order_answers",
+)
 SUBMIT_ATTEMPTS = 4
 REQUEST_TIMEOUT_S = 3.0
 # Time that users allow for a cancellation and the stop of its tasks together.
@@ -48,22 +64,8 @@
         self.fleet = PlatformFleet(vms=4, executors=6)
         self.clock = self.fleet.clock
         self.jobs = {}
-        self.faults = [
-            self.kill_owner,
-            self.kill_all,
-            self.store_down,
-            self.store_silent,
-            self.store_ignores_watches,
-            self.store_loses_answers,
-            self.store_discards_history,
-            self.store_refuses_vm,
-            self.cut_vm,
-            self.cut_worker,
-            self.crash_worker,
-            self.drain_worker,
-            self.delay_orders,
-            self.lose_order_answers,
-        ]
+        self.injector = PlatformFaults(self.fleet, self.rng)
+        self.faults = [getattr(self.injector, name) for name in FAULT_NAMES]
 
     def execute(self):
         """Submit jobs and inject failures for the whole scenario, then let the fleet recover."""
@@ -115,85 +117,6 @@
             return None
         return greenlet.value
 
-    def undo_later(self, undo):
-        def wait_and_undo():
-            self.clock.sleep(FAULT_S)
-            undo()
-
-        gevent.spawn(wait_and_undo)
-
-    def kill_owner(self):
-        if self.fleet.owner:
-            self.kill(self.fleet.owner)
-
-    def kill_all(self):
-        for vm in list(self.fleet.vms):
-            self.kill(vm)
-
-    def kill(self, vm):
-        self.fleet.kill(vm)
-        self.undo_later(lambda: self.fleet.start_vm(vm))
-
-    def set_store_fault(self, name, value, normal):
-        setattr(self.fleet.kv.faults, name, value)
-        self.undo_later(lambda: setattr(self.fleet.kv.faults, name, normal))
-
-    def store_down(self):
-        self.set_store_fault("down", True, False)
-
-    def store_silent(self):
-        self.set_store_fault("silent", True, False)
-
-    def store_ignores_watches(self):
-        self.set_store_fault("deaf", True, False)
-
-    def store_loses_answers(self):
-        self.fleet.kv.faults.lose_writes = 2
-        self.fleet.kv.faults.late_writes = 1
-
-    def store_discards_history(self):
-        self.fleet.kv.discard_history()
-
-    def store_refuses_vm(self):
-        vm = self.rng.choice(sorted(self.fleet.http_clients))
-        self.fleet.kv.faults.rejected_clients.add(vm)
-        self.undo_later(lambda: self.fleet.kv.faults.rejected_clients.discard(vm))
-
-    def cut(self, pairs):
-        self.fleet.network.cut |= pairs
-        self.undo_later(lambda: self.fleet.network.cut.difference_update(pairs))
-
-    def cut_vm(self):
-        vm = self.rng.choice(sorted(self.fleet.http_clients))
-        others = {f"{other}:82" for other in self.fleet.http_clients if other != vm}
-        pairs = {(vm, address) for address in others | {STORE}}
-        pairs |= {(other, f"{vm}:82") for other in self.fleet.http_clients if other != vm}
-        self.cut(pairs)
-
-    def cut_worker(self):
-        address = self.rng.choice(self.fleet.executors).entry["addr"]
-        self.cut({(vm, address) for vm in self.fleet.http_clients})
-
-    def crash_worker(self):
-        worker = self.rng.choice(self.fleet.executors)
-        worker.crash()
-        self.fleet.operator.register(worker)
-
-    def drain_worker(self):
-        worker = self.rng.choice(self.fleet.executors)
-        self.fleet.operator.register(worker, state="draining")
-        self.undo_later(lambda: self.fleet.operator.register(worker))
-
-    def delay_orders(self):
-        worker = self.rng.choice(self.fleet.executors).name
-        self.fleet.network.late_orders[worker] = 2.5
-        self.undo_later(lambda: self.fleet.network.late_orders.pop(worker, None))
-
-    def lose_order_answers(self):
-        worker = self.rng.choice(self.fleet.executors).name
-        self.fleet.network.lost_responses[worker] = 2
-        self.fleet.network.lost_holds[worker] = 2
-
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_invariants_hold_through_random_failures(seed):
--- a/tests/test_platform_takeovers.py
+++ b/tests/test_platform_takeovers.py
@@ -3,7 +3,6 @@
 Jobs are graphs of tasks and gangs, some runs fail, entries of workers lapse, and stops take long.
 """
 
-import gevent
 import pytest
 
 from standins.platform import executors
@@ -15,7 +14,6 @@
 # were stopped, and the gang was started before they had ended).
 SEEDS = (*range(8), 28)
 STOP_DURATION_S = 0.9
-SHORT_CUT_S = (0.5, 2.5)
 MAX_STEPS = 4
 # The workers are busy with the backlog for most of this time after the last failure.
 BACKLOG_S = 60.0
@@ -26,42 +24,10 @@
 
     def __init__(self, seed):
         super().__init__(seed)
-        self.faults += [self.cut_workers_and_kill_owner] * 5
-        self.faults += [self.cut_workers, self.kill_owner, self.cut_worker]
-        self.faults += [self.unlist_worker, self.fail_worker, self.reset_polls]
-
-    def cut_workers(self):
-        """Cut off some workers from all VMs for a moment."""
-        cut_off = self.rng.sample(self.fleet.executors, self.rng.randint(2, 4))
-        pairs = {(vm, each.entry["addr"]) for vm in self.fleet.http_clients for each in cut_off}
-        self.fleet.network.cut |= pairs
-        duration_s = self.rng.uniform(*SHORT_CUT_S)
-
-        def reconnect():
-            self.clock.sleep(duration_s)
-            self.fleet.network.cut.difference_update(pairs)
-
-        gevent.spawn(reconnect)
-
-    def cut_workers_and_kill_owner(self):
-        self.cut_workers()
-        self.kill_owner()
-
-    def unlist_worker(self):
-        """Remove the entry of a worker that runs on."""
-        worker = self.rng.choice(self.fleet.executors)
-        self.fleet.operator.register(worker, state=self.rng.choice(["ready", "draining"]))
-        self.fleet.operator.unregister(worker)
-        self.undo_later(lambda: self.fleet.operator.register(worker))
-
-    def fail_worker(self):
-        """Let a worker fail all that it starts."""
-        worker = self.rng.choice(self.fleet.executors)
-        worker.failing = True
-        self.undo_later(lambda: setattr(worker, "failing", False))
-
-    def reset_polls(self):
-        self.fleet.network.reset_holds[self.rng.choice(self.fleet.executors).name] = 2
+        faults = self.injector
+        self.faults += [faults.cut_workers_and_kill_owner] * 5
+        self.faults += [faults.cut_workers, faults.kill_owner, faults.cut_worker]
+        self.faults += [faults.unlist_worker, faults.fail_worker, faults.reset_polls]
 
     def submit_job(self, name):
         queue = self.rng.choice(["urgent", "ordinary", "patient"])
