Call a cancellation that has begun unknown while it is not stored

A client was told 503, that its job was not cancelled, although the owner had ended the job and stopped its tasks: only the store refused to take it down. The owner now says that it has begun, and the answer is 504; also if the owner's own answer is missing.

--- a/src/lacewingmill/jobs/job_api.py
+++ b/src/lacewingmill/jobs/job_api.py
@@ -10,6 +10,7 @@
 from lacewingmill.codec import decode, encode
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import (
+    ConnectFailed,
     JobRefused,
     MessageInvalid,
     NotOwner,
@@ -196,13 +197,18 @@
         """Cancel a job; return whether the team has such a job.
 
         :raises JobRefused: when the job was certainly not cancelled.
-        :raises OutcomeUnknown: when the cancellation may have been stored.
+        :raises OutcomeUnknown: when the cancellation may have begun or have been stored.
         """
+        maybe_begun = False
         try:
-            if self._ask_owner(CancelRequest(job_id, team)).known:
+            reply = self._ask_owner(CancelRequest(job_id, team))
+            if reply.known:
                 return True
-        except (TransportError, NotOwner):
+            maybe_begun = reply.begun
+        except (ConnectFailed, NotOwner):
             pass  # the owner, or the next one, reads the cancellation from the store
+        except TransportError:
+            maybe_begun = True
         try:
             if self._read_state(job_id, team) is None:
                 return False
@@ -210,13 +216,12 @@
             self._store.commit(Transaction((ItemRevision(key, 0),), (Put(key, b"1"),)))
         except TransactionConflict:
             return True
-        except StoreRefused as exc:
-            self._log.emit(LogEvent.CANCEL_NOT_STORED, job=job_id, reason=exc.message)
-            raise JobRefused(
-                "the job was not cancelled", retry_after_s=self._retry_after_s()
-            ) from exc
         except StoreUnavailable as exc:
             self._log.emit(LogEvent.CANCEL_NOT_STORED, job=job_id, reason=exc.message)
+            if isinstance(exc, StoreRefused) and not maybe_begun:
+                raise JobRefused(
+                    "the job was not cancelled", retry_after_s=self._retry_after_s()
+                ) from exc
             raise OutcomeUnknown(
                 "it is not known whether the job was cancelled", step="cancel"
             ) from exc
@@ -283,9 +288,10 @@
         if not self._has_job(request.job_id, request.team, director):
             return PeerReply(known=False)
         signal = director.cancel(request.job_id)
-        if signal is None or not self._clock.wait(signal, CANCEL_TIMEOUT_S):
+        if signal is None:
             return PeerReply(known=False)
-        return PeerReply()
+        stored = self._clock.wait(signal, CANCEL_TIMEOUT_S)
+        return PeerReply(known=stored, begun=not stored)
 
     @_answer.register
     def _(self, request: AcceptedJob, director: Director) -> PeerReply:
--- a/src/lacewingmill/jobs/peers.py
+++ b/src/lacewingmill/jobs/peers.py
@@ -87,11 +87,13 @@
         :class:`ReachRequest`, whether the other VM answered.
     :param state: state of the job; ``None`` in replies to other requests.
     :param waiting: number of waiting jobs; 0 in replies to other requests.
+    :param begun: whether the owner has begun a cancellation that it has not stored yet.
     """
 
     known: bool = True
     state: JobState | None = None
     waiting: int = 0
+    begun: bool = False
 
 
 PeerRequest = (
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -32,6 +32,27 @@
     fleet.check_invariants()
 
 
+# Guards against "the job was not cancelled" (503) about a job whose tasks the owner has stopped.
+@pytest.mark.parametrize(
+    ("case", "status"),
+    [("at the owner", 504), ("at another VM", 504), ("no answer", 504), ("no owner", 503)],
+)
+def test_a_cancellation_that_may_have_begun_is_not_called_refused(fleet, case, status):
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step()], "run_s=30")
+    owner = fleet.owner
+    other = next(name for name in fleet.vms if name != owner)
+    fleet.kv.faults.down = True
+    if case == "no answer":
+        fleet.network.slow_servers[f"{owner}:82"] = 9.0
+    if case == "no owner":
+        fleet.kill(owner)
+    vm = owner if case == "at the owner" else other
+    reply = run(fleet, fleet.call, vm, "DELETE", f"/ordinary/{job_id(1)}", seconds=5.0)
+    stopped = fleet.run_history.runs[0].ended_at is not None
+    assert stopped == case.startswith("at ")
+    assert reply[0] == status
+
+
 def test_a_job_refused_while_the_store_is_down_never_runs(fleet):
     fleet.kv.faults.down = True
     assert run(fleet, fleet.submit, "vm1", "ordinary", job_id(1), [step()]) == 503
