Explore random orders of jobs and failures on the emulation

bench/explore.py draws a plan of jobs and failures from a seed, plays it on virtual time, checks the users' rules, and reduces a plan that breaks one. The emulation delivered late orders to executors that had exited; they are lost now, as on a real network.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint demo demo-platform up bench faults starts binary
+.PHONY: setup test lint demo demo-platform up bench faults starts explore binary
 
 setup: $(VENV)/ready
 
@@ -37,5 +37,8 @@
 starts: setup
 	$(BIN)/python -m bench.starts --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1)
 
+explore: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.explore --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) $(ARGS)
+
 binary: setup
 	$(BIN)/python -m bench.binary
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -65,12 +65,18 @@
     """A job as its client submitted it, for the behaviour of executors and the checks.
 
     :param steps: steps of the job, as submitted.
+    :param queue: queue that it was handed in to.
     :param accepted: whether a VM accepted the job.
-    :param cancelled_at: time of the cancellation, in seconds.
+    :param maybe_accepted: whether any attempt to submit it was not refused.
+    :param cancel_sent: whether a cancellation was sent, with or without an answer.
+    :param cancelled_at: time at which the cancellation was confirmed, in seconds; ``None`` before.
     """
 
     steps: list[dict]
+    queue: str = ""
     accepted: bool = False
+    maybe_accepted: bool = False
+    cancel_sent: bool = False
     cancelled_at: float | None = None
 
 
--- a/standins/platform/faults.py
+++ b/standins/platform/faults.py
@@ -93,6 +93,21 @@
         worker.crash()
         self._fleet.operator.register(worker)
 
+    def replace_worker(self) -> None:
+        """Let an executor exit for good, and start another one with its labels and tickets."""
+        worker = self._rng.choice([each for each in self._fleet.executors if not each.exited_at])
+        worker.exit()
+        self._fleet.operator.unregister(worker)
+        number = len(self._fleet.executors)
+        new = self._fleet.add_executor(number)
+        new.entry |= {"labels": worker.entry["labels"], "zone": worker.entry["zone"]}
+        self._fleet.operator.register(new)
+        self._fleet.executors.append(new)
+        self._fleet.replaced_by[worker.name] = new.name
+        for names in self._fleet.run_history.ticketed_executors.values():
+            if worker.name in names:
+                names.add(new.name)
+
     def drain_worker(self) -> None:
         """Drain an executor for a while."""
         worker = self._random_executor()
--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -25,6 +25,8 @@
     :param vms: number of VMs, named ``vm0``, ``vm1`` and so on.
     :param executors: number of executors.
     :param slow_links: names of the VMs that have a slow network link.
+
+    ``replaced_by`` holds the name of the successor of each executor that was replaced.
     """
 
     def __init__(self, vms: int = 2, executors: int = 4, slow_links: tuple[str, ...] = ()):
@@ -34,6 +36,7 @@
         self.network = EmulatedNetwork(self.clock, self.kv, STORE)
         self.operator = Operator(self.kv)
         self.run_history = RunHistory()
+        self.replaced_by: dict[str, str] = {}
         self.network.advisor_address = ADVISOR
         self.network.machines_address = MACHINES
         self.network.run_history = self.run_history
@@ -62,6 +65,12 @@
         self.operator.register(executor)
         return executor
 
+    def current_executor(self, name: str) -> str:
+        """Return the name of the last successor of an executor, or its own."""
+        while name in self.replaced_by:
+            name = self.replaced_by[name]
+        return name
+
     def start_vm(self, name: str) -> None:
         """Start a VM with empty memory."""
         http_client = self.network.client(name)
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -1,6 +1,7 @@
 """An emulated network: calls reach emulated services and VMs, or fail as on a real network."""
 
 import json
+from collections.abc import Callable
 
 import attrs
 import gevent
@@ -34,7 +35,8 @@
       whose connection is reset or refused.
 
     Hold calls are the long polls that extend the lease of an executor and return its ended runs.
-    They are not orders here. ``call_counts`` counts orders and hold calls by path.
+    They are not orders here. ``call_counts`` counts orders and hold calls by path, and
+    ``on_executor_call`` is called with the path, status and body of each that was executed.
     """
 
     def __init__(self, clock, store, store_address: str):
@@ -57,6 +59,7 @@
         self.reset_holds: dict[str, int] = {}
         self.refused_holds: dict[str, int] = {}
         self.call_counts: dict[str, int] = {}
+        self.on_executor_call: Callable[[str, int, dict], None] | None = None
         self._store_address = store_address
 
     def client(self, name: str) -> "_EmulatedClient":
@@ -218,6 +221,8 @@
             raise CallTimeout("order late", step=path, peer=peer)
         answer_by = network.clock.now() + timeout_s
         response = executor.handle(path, headers, body)
+        if network.on_executor_call is not None:
+            network.on_executor_call(path, *response)
         if executor.exited_at is not None:
             raise TransportError("connection reset", step=path, peer=peer)
         self._delay_answer(peer, path, answer_by - network.clock.now())
@@ -235,10 +240,10 @@
             raise CallTimeout("answer late", step=path, peer=peer)
 
     def _deliver_late(self, executor, path, headers, body, delay_s) -> None:
-        """Deliver an order late; it is lost if the executor restarts meanwhile."""
+        """Deliver an order late; it is lost if the executor restarts or exits meanwhile."""
         incarnation = executor.incarnation
         self._network.clock.sleep(delay_s)
-        if executor.incarnation == incarnation:
+        if executor.incarnation == incarnation and executor.exited_at is None:
             executor.handle(path, headers, body)
 
     def _receive(self, response, timeout_s):
--- /dev/null
+++ b/tests/test_explore.py
@@ -0,0 +1,49 @@
+"""The explorer finds causes of faults that are mended when they are brought back."""
+
+import pytest
+
+from bench.explore import explore
+from bench.explore_plans import draw_plan, reduce_plan
+from lacewingmill.jobs.silent_workers import SilentWorkers
+from lacewingmill.scheduling.state import SchedulerState
+
+
+def take_unlisted_workers_for_gone(monkeypatch):
+    monkeypatch.setattr(SilentWorkers, "has_exited", lambda self, link: not link.listed)
+
+
+def avoid_workers_after_a_failure_for_good(monkeypatch):
+    def avoided_workers(self, job, now):
+        return self.failures.failed_on(job.job_id, float("-inf"))
+
+    monkeypatch.setattr(SchedulerState, "avoided_workers", avoided_workers)
+
+
+# Each cause that is brought back, a seed that finds it, and the rule that it then breaks.
+CAUSES = (
+    (take_unlisted_workers_for_gone, 1, "TWICE"),
+    (avoid_workers_after_a_failure_for_good, 7, "LOST"),
+)
+# Those of the causes, and one whose plan once showed a fault of the emulation.
+SEEDS = (1, 6, 7)
+
+
+@pytest.mark.parametrize(("bring_back", "seed", "rule"), CAUSES)
+def test_a_cause_that_is_brought_back_is_found(monkeypatch, bring_back, seed, rule):
+    bring_back(monkeypatch)
+    assert rule in {finding.rule for finding in explore(draw_plan(seed))}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_rule_is_broken_in_any_order_of_jobs_and_failures(seed):
+    assert explore(draw_plan(seed)) == ()
+
+
+def test_a_plan_is_reduced_to_what_a_finding_needs():
+    plan = draw_plan(1)
+    fault, jobs = plan.faults[2], [plan.jobs[0], plan.jobs[5]]
+    reduced = reduce_plan(
+        plan, lambda plan: fault in plan.faults and all(job in plan.jobs for job in jobs)
+    )
+    assert list(reduced.faults) == [fault]
+    assert list(reduced.jobs) == jobs
