--- a/tests/test_job_teams.py
+++ b/tests/test_job_teams.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from standins.platform.executors import SubmittedJob
 from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
@@ -29,7 +30,7 @@
 def call(fleet, method, queue, number, key):
     body = BODY if method == "POST" else None
     if method == "POST":
-        fleet.run_history.jobs.setdefault(job_id(number), fleet.make_submitted_job(BODY["steps"]))
+        fleet.run_history.jobs.setdefault(job_id(number), SubmittedJob(BODY["steps"]))
     vm = sorted(fleet.vms)[0]
     path = f"/{queue}/{job_id(number)}"
     return run(fleet, fleet.call, vm, method, path, body, key, seconds=2.0)[0]
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from standins.platform import configuration
+from standins.platform.executors import SubmittedJob
 from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
@@ -69,7 +70,7 @@
 def test_an_orphaned_run_is_stopped_once(fleet):
     """The worker has no other work, so it is polled repeatedly until the run has ended."""
     executor = fleet.executors[0]
-    fleet.run_history.jobs[job_id(9)] = fleet.make_submitted_job([step(count=4)])
+    fleet.run_history.jobs[job_id(9)] = SubmittedJob([step(count=4)])
     order = {"task": f"{job_id(9)}.0.0.3", "run": 1, "spec": "run_s=9", "deadline_ms": 10**9}
     executor.handle("/run-start", {}, json.dumps(order | {"fence": executor.fence}).encode())
     steps = [step(count=4, gpu=7)]
--- a/tests/test_stale_state.py
+++ b/tests/test_stale_state.py
@@ -3,6 +3,7 @@
 import pytest
 
 from standins.platform import configuration
+from standins.platform.executors import SubmittedJob
 from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
@@ -73,7 +74,7 @@
     wait_for_owner(fleet)
     ran_before = len(fleet.run_history.runs)
     body = {"spec": "run_s=1", "steps": [step(count=6, gpu=8)]}
-    fleet.run_history.jobs[job_id(2)] = fleet.make_submitted_job(body["steps"])
+    fleet.run_history.jobs[job_id(2)] = SubmittedJob(body["steps"])
     assert run(fleet, fleet.call, "vm0", "POST", f"/ordinary/{job_id(2)}", body)[0] == 401
     answer = run(fleet, fleet.call, "vm0", "POST", f"/ordinary/{job_id(2)}", body, "key-b")
     assert answer[0] == 200
--- a/tests/test_takeover_hold_back.py
+++ b/tests/test_takeover_hold_back.py
@@ -4,6 +4,7 @@
 import pytest
 
 from standins.platform import executors
+from standins.platform.executors import SubmittedJob
 from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
@@ -87,7 +88,7 @@
     fleet.clock.advance(1.5)
     due_ms = int((fleet.clock.wall() + 5.0) * 1000)
     body = {"spec": "run_s=20", "steps": [step()], "times": 1, "start_at_ms": due_ms}
-    fleet.run_history.jobs[job_id(1)] = fleet.make_submitted_job([step()])
+    fleet.run_history.jobs[job_id(1)] = SubmittedJob([step()])
     path = f"/ordinary/{job_id(1)}"
     assert run(fleet, fleet.call, "vm0", "POST", path, body, seconds=1.5)[0] == 200
     [started] = fleet.run_history.runs
