Worker directory, inbox: read all pages of changes in one poll

Cause: the store returns at most 500 changes for one watch, with the revision of the last one. The directory made one call a second, so with about 670 changes a second (1,000 workers) it fell behind by a second every four, and a worker that had left got work for as long.

Change: the adapter marks an answer near the limit as truncated, and both polls go on until an answer is not. The emulated store has the same limit.

--- a/src/lacewingmill/jobs/inbox.py
+++ b/src/lacewingmill/jobs/inbox.py
@@ -114,13 +114,21 @@
             self._director.pool.restore(used)
 
     def _poll(self) -> None:
-        try:
-            changes = self._store.watch(INBOX_PREFIX, after=self._revision, wait_s=0.0)
-        except HistoryLost:
-            records, self._revision = self._store.scan(INBOX_PREFIX)
-        else:
-            self._revision = changes.revision
-            records = tuple(c.record for c in changes.changes if c.record is not None)
+        """Apply all changes since the last poll, in as many calls as the store needs for them."""
+        truncated = True
+        while truncated:
+            try:
+                changes = self._store.watch(INBOX_PREFIX, after=self._revision, wait_s=0.0)
+            except HistoryLost:
+                records, self._revision = self._store.scan(INBOX_PREFIX)
+                truncated = False
+            else:
+                self._revision = changes.revision
+                records = tuple(c.record for c in changes.changes if c.record is not None)
+                truncated = changes.truncated
+            self._apply_records(records)
+
+    def _apply_records(self, records: tuple[Record, ...]) -> None:
         for record in records:
             if record.key.startswith(JOB_PREFIX):
                 submission = self._decode(record, Submission)
--- a/src/lacewingmill/jobs/ports.py
+++ b/src/lacewingmill/jobs/ports.py
@@ -60,10 +60,12 @@
     """The changes that a watch returned.
 
     :param revision: revision of the store up to which ``changes`` is complete.
+    :param truncated: whether later changes may exist already, which another watch returns at once.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    truncated: bool = False
 
 
 @attrs.frozen
--- a/src/lacewingmill/jobs/worker_directory.py
+++ b/src/lacewingmill/jobs/worker_directory.py
@@ -5,7 +5,7 @@
 
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import DocumentInvalid, HistoryLost, StoreUnavailable
-from lacewingmill.jobs.ports import Record, TransactionStore, WorkerEntry
+from lacewingmill.jobs.ports import Change, Record, TransactionStore, WorkerEntry
 from lacewingmill.ports import Clock
 from lacewingmill.retries import Backoff
 from lacewingmill.tasks import error_location
@@ -76,16 +76,24 @@
                 self._clock.sleep(self._backoff.next_s())
 
     def _poll(self) -> None:
-        changes = self._store.watch(self._prefix, after=self._revision, wait_s=0.0)
-        self._revision = changes.revision
-        for change in changes.changes:
-            if change.record is None:
-                self._remove_entry(change.key.removeprefix(self._prefix))
-            else:
-                self._update_entry(change.record)
-        if changes.changes:
+        """Apply all changes since the last poll, in as many calls as the store needs for them."""
+        changed, truncated = False, True
+        while truncated:
+            changes = self._store.watch(self._prefix, after=self._revision, wait_s=0.0)
+            self._revision = changes.revision
+            for change in changes.changes:
+                self._apply_change(change)
+            changed = changed or bool(changes.changes)
+            truncated = changes.truncated
+        if changed:
             self._report_change()
 
+    def _apply_change(self, change: Change) -> None:
+        if change.record is None:
+            self._remove_entry(change.key.removeprefix(self._prefix))
+        else:
+            self._update_entry(change.record)
+
     def _report_change(self) -> None:
         self._on_change(self._entries)
 
--- a/src/lacewingmill/platform/store.py
+++ b/src/lacewingmill/platform/store.py
@@ -27,6 +27,10 @@
 CALL_TIMEOUT_S = 0.8
 WATCH_MARGIN_S = 0.6
 REFUSED_STATUSES = (429, 503)
+# The store returns about 500 items or 1 MB at a time, so an answer near either limit may have been
+# cut off.
+FULL_ANSWER_ITEMS = 450
+FULL_ANSWER_BYTES = 900_000
 JSON_HEADERS = {"Content-Type": "application/json"}
 CallCounter = Callable[[str, str], None]
 
@@ -128,7 +132,8 @@
         changes = tuple(
             Change(item.key, None if item.deleted else _make_record(item)) for item in events.events
         )
-        return Changes(changes, events.store_revision)
+        truncated = len(changes) >= FULL_ANSWER_ITEMS or len(reply.body) >= FULL_ANSWER_BYTES
+        return Changes(changes, events.store_revision, truncated)
 
     def commit(self, transaction: Transaction) -> int:
         """Execute a transaction and return its revision.
--- a/standins/platform/kv.py
+++ b/standins/platform/kv.py
@@ -168,6 +168,9 @@
                 if event["revision"] > after and event["key"].startswith(query["prefix"])
             ]
             remaining_s = ends_at - self._clock.now()
+            if len(events) > MAX_PAGE_ITEMS:
+                events = events[:MAX_PAGE_ITEMS]
+                return 200, {"events": events, "store_revision": events[-1]["revision"]}
             if events or remaining_s <= 0:
                 return 200, {"events": events, "store_revision": self.revision}
             self._clock.wait(self._changed, remaining_s)
