--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Action",
+    "DomainsEvacuated",
     "EvictGang",
     "Event",
     "FailJob",
@@ -27,6 +28,7 @@
     "NeedsChanged",
     "Objective",
     "Placement",
+    "ProgressReported",
     "RefuseJob",
     "RunningGang",
     "GangRecovered",
@@ -358,6 +360,30 @@
     gang: RunningGang
 
 
+@attrs.frozen
+class DomainsEvacuated(Event):
+    """The operator wants no new work in some failure domains; replaces the earlier set.
+
+    :param domains: all failure domains that are evacuated now.
+    """
+
+    domains: frozenset[str]
+
+
+@attrs.frozen
+class ProgressReported(Event):
+    """A worker reported how far its part of a running gang has come.
+
+    :param done_share: share of the work that is done, 0..1.
+    :param at: time of the report, in seconds.
+    """
+
+    job_id: str
+    worker: str
+    done_share: float
+    at: float
+
+
 @attrs.frozen
 class Tick(Event):
     """Time has passed; nothing else has changed."""
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -17,6 +17,7 @@
 from lacewingmill.scheduling.guarantees import SlotTable
 from lacewingmill.scheduling.messages import (
     Action,
+    DomainsEvacuated,
     Event,
     EvictGang,
     FailJob,
@@ -31,6 +32,7 @@
     JobFinished,
     JobSubmitted,
     NeedsChanged,
+    ProgressReported,
     RefuseJob,
     StopGang,
     Tick,
@@ -157,6 +159,14 @@
     def _(self, event: Tick, now: float) -> None:
         pass
 
+    @_apply.register
+    def _(self, event: DomainsEvacuated, now: float) -> None:
+        self._state.evacuated_domains = event.domains
+
+    @_apply.register
+    def _(self, event: ProgressReported, now: float) -> None:
+        pass
+
     @_apply.register
     def _(self, event: JobSubmitted, now: float) -> None:
         job = event.job
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from lacewingmill.load.forecast import RunForecast, forecast_from_remaining
+from lacewingmill.load.speeds import WorkerSpeeds
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, WorkerState
 from lacewingmill.scheduling.guarantees import Slot, SlotTable
@@ -46,6 +48,7 @@
         self.queue: dict[str, JobRecord] = {}
         self.pending_claims: dict[str, JobRecord] = {}
         self.run_times = RunTimeEstimator()
+        self.speeds = WorkerSpeeds()
         self.failures = FailureTracker(failure_rules)
         self.configured_shapes: tuple[Shape, ...] = ()
         self.packing = PackingScorer(self.cluster, ())
@@ -57,6 +60,7 @@
         self.moving: set[str] = set()
         self.silent: set[str] = set()
         self.leaving: set[str] = set()
+        self.evacuated_domains: frozenset[str] = frozenset()
         self.actions: list[Action] = []
 
     def start(self, record: JobRecord, block: Block, now: float) -> None:
@@ -215,6 +219,10 @@
             job.service, job.shape.name, job.shape.expected_s, elapsed
         )
 
+    def forecast(self, record: JobRecord, now: float) -> RunForecast:
+        """Return when a running job is expected to end."""
+        return forecast_from_remaining(self.remaining_s(record, now), now)
+
     def is_starving(self, record: JobRecord, now: float) -> bool:
         """Return whether a wide gang has waited so long that it should get a reservation."""
         return (
