Submissions: probe a store that has not answered for a second, within the caller's time

Cause: a VM sent the submission as its first call to a store that had gone silent. Its client waited for 2.4 s and was told that the outcome is unknown, so it could not come back. Short remaining times of clients were read as 0.1 s at least.

Change: a write follows an answer of at most a second ago, else a read goes first, whose time-outs are a share of the time that the client has left. The emulated network keeps the time-outs of calls between VMs, and a silent store leaves waiting watches unanswered.

--- a/src/lacewingmill/jobs/job_api.py
+++ b/src/lacewingmill/jobs/job_api.py
@@ -152,7 +152,7 @@
         stored = False  # by this or an earlier request with the id
         while True:
             try:
-                if stored or not self._store_job(submission, started_at):
+                if stored or not self._store_job(submission, started_at, retry_until):
                     stored = True
                     self._check_repeated(submission)
                 return
@@ -306,12 +306,15 @@
         graph = director.registry.graphs.get(job_id)
         return graph is not None and graph.submission.visible_to(team)
 
-    def _store_job(self, submission: Submission, started_at: float) -> bool:
-        """Store a job; return whether it was stored now, and no other under its id before."""
+    def _store_job(self, submission: Submission, started_at: float, answer_by: float) -> bool:
+        """Store a job; return whether it was stored now, and no other under its id before.
+
+        :param answer_by: time by which a refusal must be known, in seconds.
+        """
         key = job_key(submission.job_id)
         try:
             revision = self._store.commit(
-                Transaction((ItemRevision(key, 0),), (Put(key, encode(submission)),))
+                Transaction((ItemRevision(key, 0),), (Put(key, encode(submission)),)), answer_by
             )
         except TransactionConflict:
             return False
@@ -351,7 +354,7 @@
 
     def _is_refusal_final(self, refusals: int, retry_until: float) -> bool:
         """Whether a refusal of the store is passed on to the client without a retry."""
-        if refusals >= MAX_REFUSALS or self._clock.now() > retry_until:
+        if refusals >= MAX_REFUSALS or self._clock.now() + RETRY_S > retry_until:
             return True
         return self._store.unavailable_s > FAIL_FAST_AFTER_S
 
--- a/src/lacewingmill/jobs/relay.py
+++ b/src/lacewingmill/jobs/relay.py
@@ -4,10 +4,13 @@
 second VM may safely repeat one whose answer was lost.
 """
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+import attrs
+
 from lacewingmill.adapters.http_client import HttpClient
 from lacewingmill.adapters.http_server import HttpRequest, HttpResponse
 from lacewingmill.codec import decode, encode
@@ -51,6 +54,9 @@
 # While the store stays unavailable, the time grows to this. Clients wait about 3 s.
 MAX_BACKOFF_S = 1.0
 PEER_BACKOFF_S = 3.0
+# After this time without an answer, a write is probed. It is shorter than the time for which a
+# client can wait for a refusal and still come back.
+VERIFIED_S = 1.0
 # A VM that relayed a call within this time gets a write without a probe before it.
 PEER_VERIFIED_S = 2.0
 # Maximum number of VMs tried for one call. When the store is down for all VMs, more do not help.
@@ -62,9 +68,23 @@
 # No further VM is tried after this time. Clients wait about 3 s, and a refusal after a quarter of
 # that leaves them time to retry.
 RELAY_BUDGET_S = 0.75
+# A probe takes a few milliseconds, and some more through another VM.
+MIN_PROBE_S = 0.05
 T = TypeVar("T")
 
 
+@attrs.frozen
+class _ProbeLimits:
+    """Time limits of a read that finds out whether the store answers.
+
+    :param timeout_s: time limit of each call, in seconds.
+    :param relay_until: time after which no further VM is tried, in seconds.
+    """
+
+    timeout_s: float
+    relay_until: float
+
+
 class RelayedStore:
     """The store, called directly or through another VM.
 
@@ -134,10 +154,17 @@
             Changes,
         )
 
-    def commit(self, transaction: Transaction) -> int:
-        """Execute a transaction and return its revision."""
-        if self._probe_writes:
-            self._probe()
+    def commit(self, transaction: Transaction, answer_by: float = math.inf) -> int:
+        """Execute a transaction and return its revision.
+
+        A write without an answer may have taken effect, so its client must not be told that it has
+        not. Unless the store has answered a moment ago, a read finds out whether it does.
+
+        :param answer_by: time by which the caller needs to know that nothing was written, in
+            seconds.
+        """
+        if self._probe_writes or self._clock.now() - self._answered_at > VERIFIED_S:
+            self._probe(answer_by)
         return self._call(lambda: self._direct.commit(transaction), transaction, int)
 
     def grant(self, ttl_s: float) -> Lease:
@@ -152,44 +179,59 @@
         """End a lease now; its keys are deleted."""
         self._call(lambda: self._direct.end(lease), EndCall(lease), type(None))
 
-    def _call(self, direct: Callable[[], T], message: Any, result_type: type[T]) -> T:
+    def _call(
+        self,
+        direct: Callable[[], T],
+        message: Any,
+        result_type: type[T],
+        limits: _ProbeLimits | None = None,
+    ) -> T:
         """Call the store directly, or through another VM when that fails.
 
         :param direct: makes the direct call.
         :param message: the same call as a message for another VM.
+        :param limits: time limits of a probe; ``None`` for any other call.
         :raises StoreRefused: when certainly nothing was written.
         :raises StoreUnavailable: when a write may have taken effect.
         """
         if not self.direct_available:
             failure = StoreRefused("a direct call to the store failed a moment ago")
-            return self._call_peers(message, result_type, failure)
+            return self._call_peers(message, result_type, failure, limits)
         try:
             answer = direct()
         except StoreRefused as exc:
             self.back_off(unanswered=False)
-            return self._call_peers(message, result_type, exc)
+            return self._call_peers(message, result_type, exc, limits)
         except StoreUnavailable as exc:
             if not self.record_unanswered(message):
                 raise
-            return self._call_peers(message, result_type, exc)
+            return self._call_peers(message, result_type, exc, limits)
         self._backoff.reset()
         self._record_answer(relaying=False)
         return answer
 
-    def _call_peers(self, message: Any, result_type: type[T], failure: StoreUnavailable) -> T:
+    def _call_peers(
+        self,
+        message: Any,
+        result_type: type[T],
+        failure: StoreUnavailable,
+        limits: _ProbeLimits | None,
+    ) -> T:
         """Relay a call through another VM.
 
         :param failure: the failure of the direct call; unless it is a refusal, a write may have
             taken effect already.
+        :param limits: time limits of a probe; ``None`` for any other call.
         """
         failures = [failure]
-        started_at = self._clock.now()
+        if limits is None:
+            limits = _ProbeLimits(PROBE_TIMEOUT_S, self._clock.now() + RELAY_BUDGET_S)
         if self._clock.now() >= self._relay_retry_at:
             for peer in self._choose_peers():
-                if self._clock.now() - started_at > RELAY_BUDGET_S:
+                if self._clock.now() > limits.relay_until:
                     break
                 try:
-                    answer = self._relay_verified(peer, message, result_type)
+                    answer = self._relay_verified(peer, message, result_type, limits.timeout_s)
                 except StoreUnavailable as exc:
                     failures.append(exc)
                     continue
@@ -202,15 +244,26 @@
         reasons = "; ".join(str(exc) for exc in failures)
         raise error(f"neither the store nor another VM answers: {reasons}", step="store")
 
-    def _probe(self) -> None:
-        """Check with a read that the store answers again, before a write is sent.
+    def _probe(self, answer_by: float) -> None:
+        """Check with a read that the store answers, before a write is sent.
 
-        A write that gets no answer may have taken effect; a read without an answer does no harm.
+        The caller's time is divided between the store and another VM.
 
         :raises StoreRefused: when the store does not answer; the write was not sent.
         """
+        now = self._clock.now()
+        remaining_s = answer_by - now
+        if remaining_s < MIN_PROBE_S:
+            raise StoreRefused("no time to find out whether the store answers", step="probe")
+        timeout_s = min(PROBE_TIMEOUT_S, remaining_s / 2)
+        limits = _ProbeLimits(timeout_s, now + min(RELAY_BUDGET_S, 2 * timeout_s))
         try:
-            self.read(OWNER_KEY)
+            self._call(
+                lambda: ReadResult(*self._direct.read(OWNER_KEY, timeout_s=timeout_s)),
+                ReadCall(OWNER_KEY),
+                ReadResult,
+                limits,
+            )
         except StoreUnavailable as exc:
             raise StoreRefused(exc.message, step="probe") from exc
 
@@ -256,7 +309,9 @@
         peers.sort(key=lambda peer: (peer != self._last_relay, self._peer_retry_at.get(peer, 0.0)))
         return peers[:MAX_PEERS]
 
-    def _relay_verified(self, peer: str, message: Any, result_type: type[T]) -> T:
+    def _relay_verified(
+        self, peer: str, message: Any, result_type: type[T], probe_timeout_s: float
+    ) -> T:
         """Relay a call, but a write only through a VM that has just relayed another call.
 
         A write that gets no answer may have taken effect; a read without an answer does no harm.
@@ -265,9 +320,9 @@
         if self._clock.now() - relayed_at < PEER_VERIFIED_S:
             return self._relay(peer, message, result_type, RELAY_TIMEOUT_S)
         if not isinstance(message, Transaction):
-            return self._relay(peer, message, result_type, PROBE_TIMEOUT_S)
+            return self._relay(peer, message, result_type, probe_timeout_s)
         try:
-            self._relay(peer, ReadCall(OWNER_KEY), ReadResult, PROBE_TIMEOUT_S)
+            self._relay(peer, ReadCall(OWNER_KEY), ReadResult, probe_timeout_s)
         except StoreUnavailable as exc:
             raise StoreRefused(exc.message, step="probe", peer=peer) from exc
         return self._relay(peer, message, result_type, RELAY_TIMEOUT_S)
--- a/src/lacewingmill/platform/handlers.py
+++ b/src/lacewingmill/platform/handlers.py
@@ -21,6 +21,7 @@
 MAX_STEPS = 1000
 MAX_TASKS = 100_000
 DEFAULT_DEADLINE_S = 3.0
+MIN_DEADLINE_S = 0.001
 
 
 @attrs.frozen
@@ -182,7 +183,7 @@
 
 def _deadline_s(req: HttpRequest) -> float:
     try:
-        return max(0.1, int(req.headers[DEADLINE_HEADER]) / 1000)
+        return max(MIN_DEADLINE_S, int(req.headers[DEADLINE_HEADER]) / 1000)
     except (KeyError, ValueError):
         return DEFAULT_DEADLINE_S
 
--- a/src/lacewingmill/platform/store.py
+++ b/src/lacewingmill/platform/store.py
@@ -89,9 +89,10 @@
         """Return the record of a key, or ``None`` when the key is absent."""
         return self.read(key)[0]
 
-    def read(self, key: str) -> tuple[Record | None, int]:
+    def read(self, key: str, *, timeout_s: float = CALL_TIMEOUT_S) -> tuple[Record | None, int]:
         """Return the record of a key, and a revision from which a watch misses no change of it."""
-        reply = self._call("get", "GET", f"/kv-key?{urlencode({'key': key}, safe='/')}")
+        query = urlencode({"key": key}, safe="/")
+        reply = self._call("get", "GET", f"/kv-key?{query}", timeout_s=timeout_s)
         if reply.status == 404:
             return None, 0
         item = self._decode(reply, _Item)
--- a/standins/platform/kv.py
+++ b/standins/platform/kv.py
@@ -160,6 +160,8 @@
         while True:
             if after < self._discarded_revision:
                 return 410, {}
+            if self.faults.silent:
+                return None
             if self.faults.down or client in self.faults.rejected_clients:
                 return 503, {}
             events = [
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -5,6 +5,7 @@
 
 import attrs
 import gevent
+from gevent.event import Event
 
 from lacewingmill.adapters.http_client import HttpReply
 from lacewingmill.adapters.http_server import HttpRequest, HttpResponse
@@ -173,7 +174,12 @@
         if server is None:
             raise ConnectFailed("refused", step="connect", peer=peer)
         self._delay_answer(peer, path, timeout_s)
-        response = server.call(method, path, headers, body)
+        answered = Event()
+        call = gevent.spawn(server.call, method, path, headers, body)
+        call.rawlink(lambda _: answered.set())
+        if not network.clock.wait(answered, timeout_s):
+            raise CallTimeout("no answer", step=path, peer=peer)
+        response = call.get()
         return HttpReply(response.status, {}, response.body)
 
     def forget(self, peer) -> None:
