Evacuated failure domains: nothing is started there

Change: the loop that follows the configuration follows all keys of the operator; the planner tells the schedulers before each round; starts are checked again before each sending; a new owner reads the requests before it plans.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -111,6 +111,9 @@
         "warning",
         "A worker has started again with another size, rack or other labels.",
     )
+    DOMAINS_EVACUATED = (441, "warning", "Nothing is started in evacuated failure domains.")
+    DOMAINS_RELEASED = (442, "info", "Work is started again in released failure domains.")
+    QUOTAS_EXCEED_WORKERS = (443, "error", "The workers left cannot hold all teams' quotas.")
     GUARANTEE_SHORTFALL = (340, "error", "A guaranteed shape cannot be reclaimed now.")
 
     def __init__(self, number: int, level: str, meaning: str):
--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -11,11 +11,11 @@
 from lacewingmill.adapters.http_server import HttpRequest, HttpResponse, HttpServer
 from lacewingmill.adapters.metrics import Metrics
 from lacewingmill.events import EventLog, LogEvent
-from lacewingmill.jobs.configuration_follower import ConfigurationFollower
 from lacewingmill.jobs.director import Director, DirectorDependencies
 from lacewingmill.jobs.directory import VmDirectory
 from lacewingmill.jobs.election import JobElector, JobOwner, election_delay_s
 from lacewingmill.jobs.job_api import JobApi, JobApiDependencies
+from lacewingmill.jobs.operator_follower import OperatorFollower
 from lacewingmill.jobs.owner_watch import OwnerWatch
 from lacewingmill.jobs.peers import PeerClient
 from lacewingmill.jobs.ports import WorkerEntry
@@ -25,7 +25,7 @@
 from lacewingmill.jobs.vm import JobVm
 from lacewingmill.jobs.worker_directory import WorkerDirectory
 from lacewingmill.platform import (
-    CONFIGURATION_KEY,
+    OPERATOR_KEYS,
     WORKER_PREFIX,
     HttpAdvisor,
     HttpMachineList,
@@ -74,13 +74,14 @@
     )
     directory = VmDirectory(store, clock, log, settings.vm, settings.peers, environment.rng)
     relay = StoreRelay(direct_store, store)
-    follower = ConfigurationFollower(
+    follower = OperatorFollower(
         store,
         clock,
         log,
-        CONFIGURATION_KEY,
+        OPERATOR_KEYS,
         decode_configuration,
         settings.limits.config_in_force_s,
+        lambda: vm.replan(),
         environment.rng,
     )
     deps = DirectorDependencies(
@@ -93,6 +94,7 @@
         metrics,
         settings.limits,
         lambda: follower.table,
+        lambda: follower.evacuated_domains,
         environment.rng,
     )
 
@@ -148,7 +150,7 @@
     return vm
 
 
-def _add_gauges(metrics: Metrics, vm: JobVm, follower: ConfigurationFollower, clock: Clock) -> None:
+def _add_gauges(metrics: Metrics, vm: JobVm, follower: OperatorFollower, clock: Clock) -> None:
     """Add the gauges of a VM; those of the director are 0 at a VM that is not the owner."""
 
     def director_gauge(read: Callable[[Director], float]) -> Callable[[], float]:
@@ -169,6 +171,11 @@
         "Units that hold workers, at the VM that directs",
         director_gauge(lambda director: director.running),
     )
+    metrics.add_gauge(
+        "lacewingmill_evacuated_workers",
+        "Workers in evacuated failure domains, at the VM that directs",
+        director_gauge(lambda director: director.evacuated_workers),
+    )
     metrics.add_gauge(
         "lacewingmill_configuration_version",
         "Version of the configuration in force at this VM",
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -13,6 +13,7 @@
 from lacewingmill.jobs.advice_cache import AdviceCache
 from lacewingmill.jobs.advised_units import AdvisedUnits
 from lacewingmill.jobs.election import OwnerLease
+from lacewingmill.jobs.evacuation_feed import EvacuationFeed
 from lacewingmill.jobs.graph import JobGraph, Progress
 from lacewingmill.jobs.job_registry import JobRegistry
 from lacewingmill.jobs.link_listener import Order
@@ -65,6 +66,7 @@
     :param advisor: the advice service; ``None`` where there is none.
     :param machines: the platform's machine list; ``None`` where there is none.
     :param table: returns the configuration in force; ``None`` before the first one was read.
+    :param evacuated_domains: returns the failure domains in which nothing may be started.
     :param rng: source of the random part of delays.
     """
 
@@ -77,6 +79,7 @@
     meters: Meters
     limits: PlatformLimits
     table: Callable[[], QueueTable | None]
+    evacuated_domains: Callable[[], frozenset[str]]
     rng: random.Random
 
 
@@ -122,7 +125,8 @@
         )
         self.registry = JobRegistry(self.store_writer, clock, meters)
         self._advice = AdviceCache(deps.advisor, clock, log, self.registry, deps.table)
-        self._planner = UnitPlanner(clock, log, deps.table, self._execute_contained)
+        evacuations = EvacuationFeed(deps.evacuated_domains, log)
+        self._planner = UnitPlanner(clock, log, deps.table, evacuations, self._execute_contained)
         self.pool = WorkerPool(
             deps.orders, self.store_writer, self._planner, log, self._services, self._connect
         )
@@ -158,6 +162,15 @@
         """Number of units that occupy workers."""
         return len(self._runner)
 
+    @property
+    def evacuated_workers(self) -> int:
+        """Number of workers in evacuated failure domains."""
+        return self._planner.evacuated_workers
+
+    def replan(self) -> None:
+        """Plan soon, because something has changed that the planner reads by itself."""
+        self._planner.wake.set()
+
     def stop(self) -> None:
         """Stop directing the workers; running tasks continue until their leases expire."""
         self._stopped = True
@@ -310,7 +323,15 @@
 
     def _connect(self, entry: WorkerEntry) -> WorkerLink:
         deps = self._deps
-        return WorkerLink(entry, deps.orders, self.owner_lease, deps.clock, deps.limits, self)
+        return WorkerLink(
+            entry,
+            deps.orders,
+            self.owner_lease,
+            deps.clock,
+            deps.limits,
+            deps.evacuated_domains,
+            self,
+        )
 
     def _on_commit(self, key: str, message: Progress | UsedWorkers) -> None:
         if isinstance(message, UsedWorkers):
--- a/src/lacewingmill/jobs/link_listener.py
+++ b/src/lacewingmill/jobs/link_listener.py
@@ -27,7 +27,8 @@
 
     ``UNKNOWN`` means that the start has no usable result and that the member may run.
     ``UNHEALTHY`` also stands for a worker that was replaced. The other members mean the same as
-    in :class:`~lacewingmill.jobs.ports.StartOutcome`.
+    in :class:`~lacewingmill.jobs.ports.StartOutcome`. ``EVACUATED`` means that no start was sent,
+    because the worker's failure domain is evacuated.
     """
 
     STARTED = "started"
@@ -36,6 +37,7 @@
     NO_TICKET = "no_ticket"
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
+    EVACUATED = "evacuated"
     UNKNOWN = "unknown"
 
 
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -5,6 +5,7 @@
 from gevent.event import Event as GeventEvent
 
 from lacewingmill.events import EventLog
+from lacewingmill.jobs.evacuation_feed import EvacuationFeed
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.model import QueueTable, Unit
 from lacewingmill.jobs.scheduler_inputs import build_quotas_event, new_scheduler, unit_job
@@ -38,6 +39,7 @@
     ``wake`` is set when there is something to plan.
 
     :param table: returns the configuration in force; ``None`` before the first one was read.
+    :param evacuations: tells the schedulers which failure domains are evacuated.
     :param execute: executes an action of a scheduler.
     """
 
@@ -46,12 +48,14 @@
         clock: Clock,
         log: EventLog,
         table: Callable[[], QueueTable | None],
+        evacuations: EvacuationFeed,
         execute: Callable[[Action], None],
     ):
         self.wake = GeventEvent()
         self._clock = clock
         self._log = log
         self._table = table
+        self._evacuations = evacuations
         self._execute = execute
         self._schedulers: dict[str, Scheduler] = {}
         self._events: list[tuple[str, Event]] = []
@@ -63,6 +67,11 @@
         """Number of units that wait for workers."""
         return sum(scheduler.queued for scheduler in self._schedulers.values())
 
+    @property
+    def evacuated_workers(self) -> int:
+        """Number of workers in evacuated failure domains."""
+        return sum(len(scheduler.evacuated) for scheduler in self._schedulers.values())
+
     def feed(self, service: str, event: Event) -> None:
         """Queue an event of a service for the next planning round."""
         self._scheduler(service)
@@ -136,6 +145,7 @@
     def _plan_service(self, service: str, scheduler: Scheduler, now: float) -> None:
         self._failed_rounds[service] = self._failed_rounds.get(service, 0) + 1
         with contain_errors(self._log, service=service):
+            self._evacuations.update(service, scheduler, now)
             for action in scheduler.plan(now):
                 self._execute(action)
             self._failed_rounds[service] = 0
--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -40,6 +40,7 @@
     StartResult.UNHEALTHY,
     StartResult.INVALID,
     StartResult.SUPERSEDED,
+    StartResult.EVACUATED,
 )
 # Time after an unexpected error before the unit is placed again, so that an error that repeats does
 # not occupy the owner.
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -9,12 +9,12 @@
 from lacewingmill.adapters.http_server import HttpServer
 from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import StoreUnavailable
-from lacewingmill.jobs.configuration_follower import ConfigurationFollower
 from lacewingmill.jobs.director import Director, DirectorDependencies
 from lacewingmill.jobs.directory import VmDirectory
 from lacewingmill.jobs.election import JobElector, OwnerLease
 from lacewingmill.jobs.inbox import Inbox
 from lacewingmill.jobs.lease_clock import CLOCK_DRIFT_FACTOR
+from lacewingmill.jobs.operator_follower import OperatorFollower
 from lacewingmill.jobs.owner_watch import OwnerWatch
 from lacewingmill.jobs.settings import JobVmSettings
 from lacewingmill.jobs.worker_directory import WorkerDirectory
@@ -51,7 +51,7 @@
         deps: DirectorDependencies,
         clock: Clock,
         log: EventLog,
-        follower: ConfigurationFollower,
+        follower: OperatorFollower,
         make_worker_directory,
         directory: VmDirectory,
     ):
@@ -164,6 +164,11 @@
         gevent.killall(self._loops, block=False)
         self._loops.clear()
 
+    def replan(self) -> None:
+        """Let the director plan, if there is one, because the operator's requests have changed."""
+        if self.director is not None:
+            self.director.replan()
+
     def _run_director(self, director: Director) -> None:
         inbox = Inbox(
             self._deps.store,
@@ -174,7 +179,8 @@
             self._deps.rng,
         )
         workers: WorkerDirectory = self._make_worker_directory(director.pool.update)
-        for load in (inbox.load, workers.load):
+        # What the follower last read may be older than the lease; an evacuation may be missing.
+        for load in (inbox.load, workers.load, self._follower.load):
             self._retry_load(load)
         for loop in (workers.follow, inbox.follow):
             self._loops.append(gevent.spawn(keep_running, loop, self._clock, self._log))
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -1,5 +1,7 @@
 """The owner's link to one worker: sends orders, extends leases and polls its lists of runs."""
 
+from collections.abc import Callable
+
 import attrs
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
@@ -68,6 +70,7 @@
     report, in seconds.
 
     :param entry: registration of the worker; replaced when it changes.
+    :param evacuated_domains: returns the failure domains in which nothing may be started.
     :param listener: receives the events of the link.
     """
 
@@ -78,6 +81,7 @@
         owner_lease: OwnerLease,
         clock: Clock,
         limits: PlatformLimits,
+        evacuated_domains: Callable[[], frozenset[str]],
         listener: LinkListener,
     ):
         self.entry = entry
@@ -91,6 +95,7 @@
         self._owner_lease = owner_lease
         self._clock = clock
         self._limits = limits
+        self._evacuated_domains = evacuated_domains
         self._listener = listener
         self._slots = BoundedSemaphore(MAX_CONCURRENT_ORDERS)
         self._wake = Event()
@@ -148,6 +153,8 @@
             for _ in range(MAX_START_ATTEMPTS):
                 if not self._owner_lease.valid or member.gone or member.stopped_at:
                     return StartResult.UNKNOWN
+                if self._evacuated:
+                    return self._withhold_start(any_unanswered)
                 try:
                     answer = self._send_start(member, spec, checkpoint, ticket)
                 except FenceRejected:
@@ -167,6 +174,17 @@
             self._wake.set()  # the member may run, so its end must be polled for
             return StartResult.UNKNOWN
 
+    @property
+    def _evacuated(self) -> bool:
+        return self.entry.failure_domain in self._evacuated_domains()
+
+    def _withhold_start(self, any_unanswered: bool) -> StartResult:
+        """Return the result of a start that is not sent, or not repeated, in an evacuation."""
+        if not any_unanswered:
+            return StartResult.EVACUATED
+        self._wake.set()  # the member may run, so its end must be polled for
+        return StartResult.UNKNOWN
+
     def _order_timeout_s(self) -> float:
         """Return how long an order may take; it must not be sent after the end of the lease."""
         return min(ORDER_TIMEOUT_S, max(MIN_TIMEOUT_S, self._owner_lease.remaining_s))
--- a/src/lacewingmill/platform/__init__.py
+++ b/src/lacewingmill/platform/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from lacewingmill.platform.advice import HttpAdvisor
-from lacewingmill.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from lacewingmill.platform.configuration import OPERATOR_KEYS, decode_configuration
 from lacewingmill.platform.handlers import JobApiHandler, ReadyHandler
 from lacewingmill.platform.machines import HttpMachineList
 from lacewingmill.platform.orders import HttpWorkerOrders
@@ -15,12 +15,12 @@
 from lacewingmill.platform.workers import WORKER_PREFIX, decode_worker
 
 __all__ = [
-    "CONFIGURATION_KEY",
     "JobApiHandler",
     "HttpAdvisor",
     "HttpMachineList",
     "HttpTransactionStore",
     "HttpWorkerOrders",
+    "OPERATOR_KEYS",
     "ReadyHandler",
     "WORKER_PREFIX",
     "decode_configuration",
--- a/src/lacewingmill/platform/configuration.py
+++ b/src/lacewingmill/platform/configuration.py
@@ -1,15 +1,16 @@
-"""Decoding of the operator's configuration in the platform's store."""
+"""The operator's keys in the platform's store, and the decoding of the configuration there."""
 
 import attrs
 
 from lacewingmill.codec import decode_json
 from lacewingmill.exceptions import DocumentInvalid, MessageInvalid
 from lacewingmill.jobs.model import AdviceTiming, Queue, QueueTable, TeamKeys
+from lacewingmill.jobs.operator_follower import OperatorKeys
 from lacewingmill.platform.fields import Amount, Duration, Integer, Number
 
-__all__ = ["CONFIGURATION_KEY", "decode_configuration"]
+__all__ = ["OPERATOR_KEYS", "decode_configuration"]
 
-CONFIGURATION_KEY = "op/config"
+OPERATOR_KEYS = OperatorKeys(prefix="op/", configuration="op/config", evacuations="op/evacuate/")
 
 
 @attrs.frozen
@@ -47,7 +48,7 @@
 
 
 def decode_configuration(value: bytes) -> QueueTable:
-    """Decode the value stored under :data:`CONFIGURATION_KEY`.
+    """Decode the value stored under the key of the configuration in :data:`OPERATOR_KEYS`.
 
     :raises DocumentInvalid: when the value is not a configuration.
     """
--- a/src/lacewingmill/scheduling/cluster.py
+++ b/src/lacewingmill/scheduling/cluster.py
@@ -213,6 +213,32 @@
         """Return whether new work may be placed on a worker."""
         return worker_state.info.worker not in self.cordoned
 
+    @property
+    def schedulable_accelerators(self) -> int:
+        """The accelerators, free or not, of the workers that get new work."""
+        return sum(
+            worker_state.info.accelerators
+            for worker_state in self.workers.values()
+            if self.schedulable(worker_state)
+        )
+
+    def gangs_on(self, workers: Iterable[str]) -> frozenset[str]:
+        """Return the ids of the jobs that hold accelerators on workers."""
+        return frozenset(job_id for worker in workers for job_id in self.workers[worker].gangs)
+
+    def domain_accelerators(self, domain: str) -> int:
+        """Return the number of accelerators of a failure domain, free or not."""
+        return sum(
+            worker_state.info.accelerators
+            for worker_state in self.failure_domains.get(domain, {}).values()
+        )
+
+    def workers_in(self, domains: Iterable[str]) -> frozenset[str]:
+        """Return the workers of failure domains."""
+        return frozenset(
+            worker for domain in domains for worker in self.failure_domains.get(domain, ())
+        )
+
     def workers_by_free(self, least: int) -> Iterator[dict[str, WorkerState]]:
         """Yield groups of workers with equal numbers of free accelerators, fullest first.
 
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -142,6 +142,16 @@
         """The workers that are about to leave; their gangs keep running."""
         return frozenset(self._state.leaving)
 
+    @property
+    def total_quota(self) -> int:
+        """The accelerators of all teams' quotas."""
+        return sum(self._state.quotas.values())
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The workers in evacuated failure domains; their gangs keep running."""
+        return self._state.evacuated_workers
+
     def queued_jobs(self) -> list[tuple[str, Job]]:
         """Return the queued jobs with their ids."""
         return [(job_id, record.job) for job_id, record in self._state.queue.items()]
@@ -161,7 +171,7 @@
 
     @_apply.register
     def _(self, event: DomainsEvacuated, now: float) -> None:
-        self._state.evacuated_domains = event.domains
+        self._state.evacuate(event.domains, now)
 
     @_apply.register
     def _(self, event: ProgressReported, now: float) -> None:
@@ -264,6 +274,9 @@
         if event.leaving:
             self._state.mark_leaving(event.info.worker, now)
             return
+        if self._state.is_evacuated(event.info.worker):
+            self._state.cordon_workers((event.info.worker,), now)
+            return
         self._state.slot_table.fill_shortfalls()
         self._state.reservation = None
 
@@ -289,7 +302,7 @@
         if event.worker not in self._state.cluster.workers or event.worker in self._state.silent:
             return
         self._state.silent.add(event.worker)
-        self._state.cordon_worker(event.worker, now)
+        self._state.cordon_workers((event.worker,), now)
 
     @_apply.register
     def _(self, event: WorkerAnswered, now: float) -> None:
@@ -369,7 +382,7 @@
         rack = frozenset(self._state.cluster.racks.get(worker_state.info.rack, ()))
         verdict = self._state.failures.record_failure(record.job.job_id, worker, rack, now)
         if verdict.quarantine:
-            self._state.cordon_worker(worker, now)
+            self._state.cordon_workers((worker,), now)
         return verdict.bad_job
 
     def _start_probes(self, now: float) -> None:
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -1,6 +1,6 @@
 """The state that the planners of a scheduler share, and the operations on it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -61,6 +61,7 @@
         self.silent: set[str] = set()
         self.leaving: set[str] = set()
         self.evacuated_domains: frozenset[str] = frozenset()
+        self.evacuated_racks: frozenset[str] = frozenset()
         self.actions: list[Action] = []
 
     def start(self, record: JobRecord, block: Block, now: float) -> None:
@@ -142,25 +143,49 @@
                     record, now, f"worker {worker} became unavailable before its gangs were evicted"
                 )
 
-    def cordon_worker(self, worker: str, now: float) -> None:
-        """Cordon a worker, move its reservations and queue its pending claims again."""
-        self.cluster.cordon(worker)
-        self.slot_table.unreserve_worker(worker)
+    def cordon_workers(self, workers: Iterable[str], now: float) -> None:
+        """Cordon workers, move their reservations and queue their pending claims again."""
+        for worker in workers:
+            self.cluster.cordon(worker)
+            self.slot_table.unreserve_worker(worker)
         self.slot_table.fill_shortfalls()
-        self.requeue_claims_on(worker, now)
+        for worker in workers:
+            self.requeue_claims_on(worker, now)
         self.reservation = None
 
+    def evacuate(self, domains: frozenset[str], now: float) -> None:
+        """Cordon the workers of evacuated failure domains, and uncordon those of released ones."""
+        before, self.evacuated_domains = self.evacuated_domains, domains
+        evacuated = self.cluster.workers_in(domains)
+        self.evacuated_racks = frozenset(
+            rack for rack, workers in self.cluster.racks.items() if evacuated.issuperset(workers)
+        )
+        self.cordon_workers(self.cluster.workers_in(domains - before), now)
+        for worker in self.cluster.workers_in(before - domains):
+            self.uncordon_worker(worker)
+
+    def is_evacuated(self, worker: str) -> bool:
+        """Return whether a worker's failure domain is evacuated."""
+        return self.cluster.workers[worker].info.failure_domain in self.evacuated_domains
+
+    @property
+    def evacuated_workers(self) -> frozenset[str]:
+        """The workers in evacuated failure domains."""
+        return self.cluster.workers_in(self.evacuated_domains)
+
     def mark_leaving(self, worker: str, now: float) -> None:
         """Cordon a leaving worker and forget its size, so that no job waits for it."""
         self.leaving.add(worker)
         self.cluster.forget(worker)
-        self.cordon_worker(worker, now)
+        self.cordon_workers((worker,), now)
 
     def uncordon_worker(self, worker: str) -> None:
-        """Uncordon a worker unless it is silent, about to leave or quarantined."""
+        """Uncordon a worker unless it is silent, leaving, quarantined or evacuated."""
         unavailable = worker in self.silent or worker in self.leaving
         if unavailable or self.failures.quarantined(worker) or worker not in self.cluster.workers:
             return
+        if self.is_evacuated(worker):
+            return
         self.cluster.uncordon(worker)
         self.slot_table.fill_shortfalls()
 
@@ -243,6 +268,14 @@
         """Return whether a job avoids workers that have failed jobs, as it cannot be run again."""
         return not job.idempotent and not self.has_waited_long(job, now)
 
+    def usable_accelerators(self) -> tuple[int, int]:
+        """Return the free and the total accelerators outside evacuated failure domains."""
+        free, total = self.cluster.free_accelerators, self.cluster.total_accelerators
+        for domain in self.evacuated_domains:
+            free -= self.cluster.group_free(Adjacency.FAILURE_DOMAIN, domain)
+            total -= self.cluster.domain_accelerators(domain)
+        return free, total
+
     def avoided_workers(self, job: Job, now: float) -> frozenset[str]:
         """Return the workers that a job may not use now because it has failed on them.
 
@@ -259,7 +292,8 @@
                 return 0
             return self.allowed_units(job, worker_state, now)
 
-        busy = 2 * self.cluster.free_accelerators < self.cluster.total_accelerators
+        free, total = self.usable_accelerators()
+        busy = 2 * free < total
         if busy and any(
             holds_when_empty(self.cluster, attrs.evolve(job, shape=shape), self.records, units)
             for shape in self.candidate_shapes(job, now)
@@ -298,7 +332,8 @@
         if not self.cluster.fits_when_empty(single_rack):
             return (job.shape,)
         waited_s = now - job.submitted_at
-        idle = 2 * self.cluster.free_accelerators > self.cluster.total_accelerators
+        free, total = self.usable_accelerators()
+        idle = 2 * free > total
         max_wait_s = RACK_WAIT_IDLE_S if idle else RACK_WAIT_S
         return (single_rack, job.shape) if waited_s > max_wait_s else (single_rack,)
 
@@ -312,6 +347,7 @@
         if (
             needs.rack
             and needs.rack != worker_state.info.rack
+            and needs.rack not in self.evacuated_racks
             and not self.has_waited_long(job, now)
         ):
             return 0
--- a/standins/platform/operator.py
+++ b/standins/platform/operator.py
@@ -60,6 +60,14 @@
         """Write a configuration."""
         self._store.write("op/config", config)
 
+    def evacuate(self, zone: str) -> None:
+        """Request that nothing more is started in a zone."""
+        self._store.write(f"op/evacuate/{zone}", {})
+
+    def release(self, zone: str) -> None:
+        """Take the evacuation of a zone back."""
+        self._store.write(f"op/evacuate/{zone}", None)
+
     def register(self, executor, state: str = "ready") -> None:
         """Write the entry of an executor."""
         self._store.write(f"servers/{executor.name}", executor.registration(state))
