--- a/tests/test_evacuated_domains.py
+++ b/tests/test_evacuated_domains.py
@@ -85,6 +85,8 @@
     assert {"wide", "labelled"}.isdisjoint(cell.started)
     assert {job_id for job_id, _ in cell.scheduler.queued_jobs()} == {"wide", "labelled"}
     cell.evacuate()
+    assert cell.started.pop("wide")
+    cell.handle_event(JobFinished("wide", 1.0))
     assert "labelled" in cell.started
 
 
