--- a/bench/explore_checks.py
+++ b/bench/explore_checks.py
@@ -12,6 +12,8 @@
 
 # Time that users allow for a cancellation and the stop of its tasks together.
 CANCEL_S = 3.4
+# Time that users allow from the request of an evacuation to the last start.
+EVACUATED_S = 5.0
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -39,6 +41,7 @@
         *_check_ends(fleet, states),
         *_check_refusals_and_cancels(fleet),
         *_check_places(fleet),
+        *_check_evacuations(fleet),
     )
 
 
@@ -98,5 +101,18 @@
                 break
 
 
+def _check_evacuations(fleet: PlatformFleet) -> Iterator[Finding]:
+    """EVAC: nothing starts in a zone some time after its evacuation was requested."""
+    zones = {executor.name: executor.entry["zone"] for executor in fleet.executors}
+    for run in fleet.run_history.runs:
+        for evacuation in fleet.operator.evacuations:
+            if zones[run.executor] != evacuation.zone:
+                continue
+            if evacuation.begun_at + EVACUATED_S < run.started_at < evacuation.ended_at:
+                waited_s = run.started_at - evacuation.begun_at
+                text = f"{run.task} started {waited_s:.1f} s after its zone was evacuated"
+                yield Finding("EVAC", run.task, text)
+
+
 def _runs_at(run: Run, at: float) -> bool:
     return run.started_at <= at and (run.ended_at is None or run.ended_at > at)
--- a/bench/explore_plans.py
+++ b/bench/explore_plans.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from standins.platform.faults import FAULTS
+from standins.platform.faults import EVACUATION, FAULTS
 from standins.platform.fleet import job_id, step
 
 __all__ = ["EXECUTORS", "Moment", "Plan", "PlannedFault", "PlannedJob", "draw_plan", "reduce_plan"]
@@ -23,6 +23,8 @@
 RACKS = ("r0", "r1", "r2", "r3")
 MAX_FAULT_KINDS = 6
 OWNER_FAULT_SHARE = 0.5
+EVACUATION_SHARE = 0.4
+MAX_EVACUATIONS = 3
 
 Entry = TypeVar("Entry")
 
@@ -105,7 +107,8 @@
 def draw_plan(seed: int) -> Plan:
     """Draw a plan; the same seed gives the same plan on each machine."""
     rng = random.Random(seed)
-    return Plan(seed, LENGTH_S, tuple(_draw_jobs(rng)), tuple(_draw_faults(rng)))
+    jobs, faults = _draw_jobs(rng), _draw_faults(rng)
+    return Plan(seed, LENGTH_S, tuple(jobs), (*faults, *_draw_evacuations(seed)))
 
 
 def reduce_plan(plan: Plan, breaks: Callable[[Plan], bool]) -> Plan:
@@ -213,3 +216,19 @@
         delay_s = rng.uniform(0.0, MAX_DELAY_S)
         faults.append(PlannedFault(at_s, rng.choice(kinds), after, delay_s))
     return faults
+
+
+def _draw_evacuations(seed: int) -> list[PlannedFault]:
+    """Draw evacuations for a share of the plans; the rest of a plan does not depend on them."""
+    rng = random.Random(f"evacuations {seed}")
+    if rng.random() > EVACUATION_SHARE:
+        return []
+    return [
+        PlannedFault(
+            rng.uniform(0.0, LENGTH_S),
+            EVACUATION,
+            rng.choice(list(Moment)) if rng.random() < 0.5 else None,
+            rng.uniform(0.0, MAX_DELAY_S),
+        )
+        for _ in range(rng.randint(1, MAX_EVACUATIONS))
+    ]
--- a/bench/platform_demo.py
+++ b/bench/platform_demo.py
@@ -48,7 +48,7 @@
         self._history = RunHistory()
         self._vms: list[subprocess.Popen] = []
         self._servers: list[HttpServer] = []
-        operator = Operator(self._store)
+        operator = Operator(self._store, clock)
         self._start_server(base_port, self._handle_store_request)
         for number in range(EXECUTOR_COUNT):
             executor = self._make_executor(number, clock)
--- a/standins/platform/faults.py
+++ b/standins/platform/faults.py
@@ -8,11 +8,12 @@
 from standins.platform.executors import Executor
 from standins.platform.fleet import STORE, PlatformFleet
 
-__all__ = ["FAULTS", "PlatformFaults"]
+__all__ = ["EVACUATION", "FAULTS", "PlatformFaults"]
 
 FAULT_S = 3.0
 SHORT_CUT_S = (0.5, 2.5)
 LATE_ORDER_S = 2.5
+EVACUATION_S = (2.0, 14.0)
 
 
 class PlatformFaults:
@@ -155,6 +156,16 @@
         worker.rejects_starts = True
         self._undo_later(lambda: setattr(worker, "rejects_starts", False))
 
+    def evacuate_domain(self) -> None:
+        """Request the evacuation of a zone for a while, unless it is evacuated."""
+        operator = self._fleet.operator
+        evacuated = {each.zone for each in operator.evacuations if each.ended_at == float("inf")}
+        zone = self._rng.choice(sorted({each.entry["zone"] for each in self._fleet.executors}))
+        if zone in evacuated:
+            return
+        operator.evacuate(zone)
+        self._undo_later(lambda: operator.release(zone), after_s=self._rng.uniform(*EVACUATION_S))
+
     def _random_executor(self) -> Executor:
         return self._rng.choice(self._fleet.executors)
 
@@ -184,4 +195,8 @@
         gevent.spawn(wait_and_undo)
 
 
-FAULTS = tuple(name for name in vars(PlatformFaults) if not name.startswith("_"))
+EVACUATION = PlatformFaults.evacuate_domain.__name__
+# An evacuation is a request and no fault, and is drawn apart from the faults.
+FAULTS = tuple(
+    name for name in vars(PlatformFaults) if not name.startswith("_") and name != EVACUATION
+)
--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -34,7 +34,7 @@
         self.clock = VirtualClock()
         self.kv = KvStore(self.clock)
         self.network = EmulatedNetwork(self.clock, self.kv, STORE)
-        self.operator = Operator(self.kv)
+        self.operator = Operator(self.kv, self.clock)
         self.run_history = RunHistory()
         self.replaced_by: dict[str, str] = {}
         self.network.advisor_address = ADVISOR
--- a/standins/platform/operator.py
+++ b/standins/platform/operator.py
@@ -1,8 +1,10 @@
 """The platform's operator: writes configurations and registers executors."""
 
+import attrs
+
 from standins.platform.kv import KvStore
 
-__all__ = ["Operator", "configuration"]
+__all__ = ["Evacuation", "Operator", "configuration"]
 
 SERVICE = "plumes"
 HOST = "desk.example"
@@ -50,11 +52,29 @@
     }
 
 
+@attrs.define
+class Evacuation:
+    """A request that nothing more is started in a zone.
+
+    :param begun_at: when it was written, in seconds.
+    :param ended_at: when it was taken back, in seconds; infinite before.
+    """
+
+    zone: str
+    begun_at: float
+    ended_at: float = float("inf")
+
+
 class Operator:
-    """Writes to the store on behalf of the operator and the executors."""
+    """Writes to the store on behalf of the operator and the executors.
+
+    ``evacuations`` holds all requests, those that were taken back, too.
+    """
 
-    def __init__(self, store: KvStore):
+    def __init__(self, store: KvStore, clock):
+        self.evacuations: list[Evacuation] = []
         self._store = store
+        self._clock = clock
 
     def configure(self, config: dict) -> None:
         """Write a configuration."""
@@ -63,10 +83,14 @@
     def evacuate(self, zone: str) -> None:
         """Request that nothing more is started in a zone."""
         self._store.write(f"op/evacuate/{zone}", {})
+        self.evacuations.append(Evacuation(zone, self._clock.now()))
 
     def release(self, zone: str) -> None:
         """Take the evacuation of a zone back."""
         self._store.write(f"op/evacuate/{zone}", None)
+        for evacuation in self.evacuations:
+            if evacuation.zone == zone:
+                evacuation.ended_at = min(evacuation.ended_at, self._clock.now())
 
     def register(self, executor, state: str = "ready") -> None:
         """Write the entry of an executor."""
