--- a/bench/explore_plans.py
+++ b/bench/explore_plans.py
@@ -220,7 +220,7 @@
 
 def _draw_evacuations(seed: int) -> list[PlannedFault]:
     """Draw evacuations for a share of the plans; the rest of a plan does not depend on them."""
-    rng = random.Random(f"evacuations {seed}")
+    rng = random.Random(f"{seed} evacuated")
     if rng.random() > EVACUATION_SHARE:
         return []
     return [
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -125,7 +125,7 @@
         )
         self.registry = JobRegistry(self.store_writer, clock, meters)
         self._advice = AdviceCache(deps.advisor, clock, log, self.registry, deps.table)
-        evacuations = EvacuationFeed(deps.evacuated_domains, log)
+        evacuations = EvacuationFeed(deps.evacuated_domains, deps.table, log)
         self._planner = UnitPlanner(clock, log, deps.table, evacuations, self._execute_contained)
         self.pool = WorkerPool(
             deps.orders, self.store_writer, self._planner, log, self._services, self._connect
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -70,7 +70,10 @@
     @property
     def evacuated_workers(self) -> int:
         """Number of workers in evacuated failure domains."""
-        return sum(len(scheduler.evacuated) for scheduler in self._schedulers.values())
+        return sum(
+            self._evacuations.count_workers(service, scheduler)
+            for service, scheduler in self._schedulers.items()
+        )
 
     def feed(self, service: str, event: Event) -> None:
         """Queue an event of a service for the next planning round."""
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -142,16 +142,6 @@
         """The workers that are about to leave; their gangs keep running."""
         return frozenset(self._state.leaving)
 
-    @property
-    def total_quota(self) -> int:
-        """The accelerators of all teams' quotas."""
-        return sum(self._state.quotas.values())
-
-    @property
-    def evacuated(self) -> frozenset[str]:
-        """The workers in evacuated failure domains; their gangs keep running."""
-        return self._state.evacuated_workers
-
     def queued_jobs(self) -> list[tuple[str, Job]]:
         """Return the queued jobs with their ids."""
         return [(job_id, record.job) for job_id, record in self._state.queue.items()]
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -168,11 +168,6 @@
         """Return whether a worker's failure domain is evacuated."""
         return self.cluster.workers[worker].info.failure_domain in self.evacuated_domains
 
-    @property
-    def evacuated_workers(self) -> frozenset[str]:
-        """The workers in evacuated failure domains."""
-        return self.cluster.workers_in(self.evacuated_domains)
-
     def mark_leaving(self, worker: str, now: float) -> None:
         """Cordon a leaving worker and forget its size, so that no job waits for it."""
         self.leaving.add(worker)
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -6,6 +6,7 @@
 from bench.explore_plans import draw_plan, reduce_plan
 from lacewingmill.jobs.advised_units import AdvisedUnits
 from lacewingmill.jobs.silent_workers import SilentWorkers
+from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.scheduling.state import SchedulerState
 
 
@@ -24,14 +25,20 @@
     monkeypatch.setattr(AdvisedUnits, "update_waiting", lambda self: None)
 
 
+def ignore_evacuations(monkeypatch):
+    monkeypatch.setattr(SchedulerState, "evacuate", lambda self, domains, now: None)
+    monkeypatch.setattr(WorkerLink, "_evacuated", False)
+
+
 # Each cause that is brought back, a seed that finds it, and the rule that it then breaks.
 CAUSES = (
     (take_unlisted_workers_for_gone, 1, "TWICE"),
     (avoid_workers_after_a_failure_for_good, 7, "LOST"),
     (never_ask_about_workers_that_join, 42, "LOST"),
+    (ignore_evacuations, 8, "EVAC"),
 )
-# Those of the causes, and one whose plan once showed a fault of the emulation.
-SEEDS = (1, 6, 7, 42)
+# Those of the causes, one with evacuations, and one whose plan once showed a fault of the emulation.
+SEEDS = (1, 4, 6, 7, 8, 42)
 
 
 @pytest.mark.parametrize(("bring_back", "seed", "rule"), CAUSES)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -34,7 +34,7 @@
 
 SRC = Path(__file__).parent.parent / "src" / "lacewingmill"
 WIRE_NAMES = re.compile(
-    r"acked_upto|kv-(key|range|watch|txn|lease|keep)|run-(start|stop)|op/config|servers/"
+    r"acked_upto|kv-(key|range|watch|txn|lease|keep)|run-(start|stop)|op/(config|evacuate)|servers/"
     r"|X-Expect-Instance|X-Deadline-Ms|deadline_ms|mem_mb|max_per_server|long_running"
     r"|admission_check|api_keys|slo_ms|est_runtime_ms|data_rack\b.*ms|wait_ms|ttl_ms|clock_ms"
     r"|next_token|page_token|expect_rev|cold_left_ms|machine-(move|upkeep)|guaranteed\.gpu",
--- a/tests/test_platform_mixes.py
+++ b/tests/test_platform_mixes.py
@@ -7,7 +7,8 @@
 import pytest
 from gevent.event import Event
 
-from standins.platform.faults import FAULT_S, PlatformFaults
+from bench.explore_checks import check_fleet
+from standins.platform.faults import EVACUATION, FAULT_S, PlatformFaults
 from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
@@ -15,6 +16,9 @@
 # got no answer), 33 (steps that were started before their dependencies were stored were started
 # again).
 SEEDS = (*range(12), 29, 33)
+EVACUATION_SEEDS = range(6)
+# How many times as often an evacuation is drawn as each failure.
+EVACUATION_WEIGHT = 4
 SCENARIO_S = 24.0
 MAX_FAULT_INTERVAL_S = 2.5
 FAULT_NAMES = (
@@ -59,13 +63,13 @@
 class FailureScenario:
     """A fleet, its clients and random failures, all drawn from one seed."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, fault_names=FAULT_NAMES):
         self.rng = random.Random(seed)
         self.fleet = PlatformFleet(vms=4, executors=6)
         self.clock = self.fleet.clock
         self.jobs = {}
         self.injector = PlatformFaults(self.fleet, self.rng)
-        self.faults = [getattr(self.injector, name) for name in FAULT_NAMES]
+        self.faults = [getattr(self.injector, name) for name in fault_names]
 
     def execute(self):
         """Submit jobs and inject failures for the whole scenario, then let the fleet recover."""
@@ -120,7 +124,20 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_invariants_hold_through_random_failures(seed):
-    scenario = FailureScenario(seed)
+    check_scenario(FailureScenario(seed))
+
+
+@pytest.mark.parametrize("seed", EVACUATION_SEEDS)
+def test_invariants_hold_through_failures_and_evacuations(seed):
+    scenario = FailureScenario(seed, (*FAULT_NAMES, *[EVACUATION] * EVACUATION_WEIGHT))
+    check_scenario(scenario)
+    assert scenario.fleet.operator.evacuations
+    findings = check_fleet(scenario.fleet, {})
+    assert [finding.text for finding in findings if finding.rule == "EVAC"] == []
+
+
+def check_scenario(scenario):
+    """Execute a scenario and check its jobs and runs."""
     scenario.execute()
     fleet = scenario.fleet
     fleet.check_invariants()
