Headroom and busyness are counted without evacuated workers

Cause: the empty workers of an evacuated domain counted as those that are left empty for urgent jobs, so none were left empty elsewhere, and urgent jobs evicted more. Change: SchedulerState.usable_accelerators and usable_workers; nothing changes without an evacuation.

--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -118,15 +118,16 @@
             return False
         if not has_slack(job.objective, expected_s, now):
             return False
-        cluster = self._state.cluster
         if now - self._state.last_urgent_at > URGENT_IDLE_S:
             return False
-        if 2 * cluster.free_accelerators > cluster.total_accelerators:
+        free, total = self._state.usable_accelerators()
+        if 2 * free > total:
             return False
-        empty = sum(1 for worker_state in cluster.workers.values() if not worker_state.members)
-        mean_accelerators = cluster.total_accelerators / max(1, len(cluster.workers))
+        workers = self._state.usable_workers()
+        empty = sum(1 for worker_state in workers if not worker_state.members)
+        mean_accelerators = total / max(1, len(workers))
         taken = max(1.0, job.shape.accelerators / max(1.0, mean_accelerators))
-        return empty - taken < share * len(cluster.workers)
+        return empty - taken < share * len(workers)
 
     def _accepts_job(self, job: Job, worker: str, worker_state: WorkerState) -> bool:
         """Return whether a worker accepts a job; a probed one takes a single idempotent job."""
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -271,6 +271,14 @@
             total -= self.cluster.domain_accelerators(domain)
         return free, total
 
+    def usable_workers(self) -> list[WorkerState]:
+        """Return the workers outside evacuated failure domains."""
+        return [
+            worker_state
+            for worker_state in self.cluster.workers.values()
+            if worker_state.info.failure_domain not in self.evacuated_domains
+        ]
+
     def avoided_workers(self, job: Job, now: float) -> frozenset[str]:
         """Return the workers that a job may not use now because it has failed on them.
 
--- a/tests/test_evacuated_domains.py
+++ b/tests/test_evacuated_domains.py
@@ -25,10 +25,10 @@
 class ThreeDomains(SimulatedCell):
     """Six workers of 8 accelerators, two in each of the domains d0, d1 and d2, which are racks."""
 
-    def __init__(self, quotas=()):
+    def __init__(self, quotas=(), headroom=0.0):
         super().__init__(workers=0)
         rules = FailureRules(bad_job_workers=99, bad_worker_jobs=1, quarantine_s=4.0)
-        self.scheduler = Scheduler(OrderRules(defragment=False), rules)
+        self.scheduler = Scheduler(OrderRules(defragment=False, headroom=headroom), rules)
         for number in range(6):
             self.join(number)
         teams = tuple(TeamQuota(SERVICE, team, count) for team, count in quotas)
@@ -121,6 +121,17 @@
     assert cell.workers_of("u") == {"w4", "w5"}
 
 
+def test_a_burst_during_an_evacuation_leaves_workers_empty_for_urgent_gangs_elsewhere():
+    cell = ThreeDomains(headroom=0.25)
+    cell.submit("before", urgent=True)
+    cell.handle_event(JobFinished("before", 1.0))
+    cell.evacuate("d0")
+    for number in range(48):
+        cell.submit(f"patient{number}")
+    cell.submit("urgent", accelerators=8, urgent=True)
+    assert "urgent" in cell.started and cell.evicted == []
+
+
 def test_a_claim_that_waits_for_evictions_moves_out_of_an_evacuated_domain():
     cell = ThreeDomains(quotas=[("team", 16)])
     cell.submit("busy", accelerators=8, members=6)
