--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -161,7 +161,7 @@
 
     @_apply.register
     def _(self, event: DomainsEvacuated, now: float) -> None:
-        self._state.evacuated_domains = event.domains
+        self._state.evacuate(event.domains, now)
 
     @_apply.register
     def _(self, event: ProgressReported, now: float) -> None:
@@ -264,6 +264,9 @@
         if event.leaving:
             self._state.mark_leaving(event.info.worker, now)
             return
+        if self._state.is_evacuated(event.info.worker):
+            self._state.cordon_workers((event.info.worker,), now)
+            return
         self._state.slot_table.fill_shortfalls()
         self._state.reservation = None
 
@@ -289,7 +292,7 @@
         if event.worker not in self._state.cluster.workers or event.worker in self._state.silent:
             return
         self._state.silent.add(event.worker)
-        self._state.cordon_worker(event.worker, now)
+        self._state.cordon_workers((event.worker,), now)
 
     @_apply.register
     def _(self, event: WorkerAnswered, now: float) -> None:
@@ -369,7 +372,7 @@
         rack = frozenset(self._state.cluster.racks.get(worker_state.info.rack, ()))
         verdict = self._state.failures.record_failure(record.job.job_id, worker, rack, now)
         if verdict.quarantine:
-            self._state.cordon_worker(worker, now)
+            self._state.cordon_workers((worker,), now)
         return verdict.bad_job
 
     def _start_probes(self, now: float) -> None:
