Admission: refuse what surely cannot be served, before it is stored

Cause: JobApi.submit accepted whatever the store took, also jobs that no workers can hold and jobs whose room is forecast for after their last useful moment. Change: the owner forecasts once a second when the kinds of units that wait can start, by a lower bound over the ends of running gangs and the work ahead. A digest of it rides on replies to other VMs. Each VM refuses by it before the store is asked to write; any doubt accepts.

--- a/src/lacewingmill/exceptions.py
+++ b/src/lacewingmill/exceptions.py
@@ -21,6 +21,7 @@
     "StoreRefused",
     "LeaseEnded",
     "HistoryLost",
+    "NoRoom",
     "NoTarget",
     "NotOwner",
     "OutcomeUnknown",
@@ -122,6 +123,10 @@
     """The team has reached its limit of queued requests."""
 
 
+class NoRoom(JobRefused):
+    """The work ahead leaves no room for the job while its result is of any use."""
+
+
 class DeadlineExceeded(JobRefused):
     """The deadline passed before the work was sent to a target."""
 
--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -123,6 +123,7 @@
             lambda: elector.owner,
             owner_watch.reaches,
             settings.vm,
+            environment.rng,
         )
     )
 
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -12,6 +12,7 @@
 from lacewingmill.exceptions import TransportError
 from lacewingmill.jobs.advice_cache import AdviceCache
 from lacewingmill.jobs.advised_units import AdvisedUnits
+from lacewingmill.jobs.digest_maker import DigestMaker
 from lacewingmill.jobs.election import OwnerLease
 from lacewingmill.jobs.graph import JobGraph, Progress
 from lacewingmill.jobs.job_registry import JobRegistry
@@ -37,6 +38,7 @@
 from lacewingmill.jobs.units import Member
 from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.jobs.worker_pool import WorkerPool
+from lacewingmill.load.digest import AdmissionDigest
 from lacewingmill.ports import Clock, Meter, Meters
 from lacewingmill.scheduling.messages import (
     Action,
@@ -122,6 +124,7 @@
         )
         self.registry = JobRegistry(self.store_writer, clock, meters)
         self._advice = AdviceCache(deps.advisor, clock, log, self.registry, deps.table)
+        self._digests = DigestMaker(owner_lease.owner.term)
         self._planner = UnitPlanner(clock, log, deps.table, self._execute_contained)
         self.pool = WorkerPool(
             deps.orders, self.store_writer, self._planner, log, self._services, self._connect
@@ -158,6 +161,11 @@
         """Number of units that occupy workers."""
         return len(self._runner)
 
+    @property
+    def digest(self) -> AdmissionDigest | None:
+        """The digest of the load; ``None`` before the first one."""
+        return self._digests.digest(self._clock.now())
+
     def stop(self) -> None:
         """Stop directing the workers; running tasks continue until their leases expire."""
         self._stopped = True
@@ -399,6 +407,8 @@
                 retried_at = self._clock.now()
                 self._retry_deferred()
                 self._advised_units.update_waiting()
+            with contain_errors(self._log, part="digest"):
+                self._digests.update(self._planner.schedulers, self._clock.now())
             self._planner.wake.set()
 
     def _add_deferred(self, unit: Unit) -> None:
--- a/src/lacewingmill/jobs/job_api.py
+++ b/src/lacewingmill/jobs/job_api.py
@@ -1,7 +1,7 @@
 """The API for clients on each VM: stores jobs, reads their state from the owner or the store."""
 
+import random
 from collections.abc import Callable
-from functools import singledispatchmethod
 
 import attrs
 import gevent
@@ -21,18 +21,20 @@
     TransactionConflict,
     TransportError,
 )
+from lacewingmill.jobs.admission_gate import AdmissionGate
 from lacewingmill.jobs.director import Director
 from lacewingmill.jobs.election import JobOwner
 from lacewingmill.jobs.graph import Progress
 from lacewingmill.jobs.keys import cancel_key, job_key, progress_key
 from lacewingmill.jobs.model import JobState, Queue, QueueTable, Submission
+from lacewingmill.jobs.owner_answers import answer_as_owner
 from lacewingmill.jobs.peers import (
     AcceptedJob,
     AliveRequest,
     CancelRequest,
+    OwnerRequest,
     PeerClient,
     PeerReply,
-    PeerRequest,
     ReachRequest,
     StateRequest,
     WaitingRequest,
@@ -60,7 +62,6 @@
 RETRY_AFTER_DEADLINE_SHARE = 1 / 3
 NO_OWNER_RETRY_AFTER_S = 1.0
 WAITING_CACHE_S = 0.7
-CANCEL_TIMEOUT_S = 1.2
 
 
 @attrs.frozen
@@ -73,6 +74,7 @@
     :param owner: returns the owner that this VM knows; ``None`` when there is none.
     :param reaches: returns whether the VM at an address answers.
     :param vm: name of this VM.
+    :param rng: source of the random part of delays.
     """
 
     store: RelayedStore
@@ -85,6 +87,7 @@
     owner: Callable[[], JobOwner | None]
     reaches: Callable[[str], bool]
     vm: str
+    rng: random.Random
 
 
 @attrs.frozen
@@ -116,6 +119,9 @@
         self._store = deps.store
         self._meters = deps.meters
         self._counts: dict[str, _CachedCount] = {}
+        self._gate = AdmissionGate(
+            deps.store, deps.clock, deps.log, deps.meters, self._director, deps.owner, deps.rng
+        )
 
     def resolve(self, host: str, path: str, key: str) -> QueueRoute:
         """Find the queue of a request and the team of its client.
@@ -146,6 +152,7 @@
         """
         submission = attrs.evolve(submission, accepted_at=self._clock.wall())
         started_at = self._clock.now()
+        self._gate.check(submission)
         retry_until = started_at + deadline_s * DEADLINE_SHARE
         unknown_reason = ""
         refusals = 0
@@ -258,53 +265,26 @@
         director = self._director()
         if director is None:
             return HttpResponse(409, b"not the owner", "text/plain")
-        return HttpResponse(200, encode(self._answer(request, director)))
+        reply = self._gate.attach(
+            answer_as_owner(request, director, self._clock), request.known_digest
+        )
+        return HttpResponse(200, encode(reply))
 
     def _director(self) -> Director | None:
         director = self._deps.director()
         return director if director is not None and director.recovered else None
 
-    def _ask_owner(self, request: PeerRequest) -> PeerReply:
+    def _ask_owner(self, request: OwnerRequest) -> PeerReply:
         director = self._director()
         if director is not None:
-            return self._answer(request, director)
+            return answer_as_owner(request, director, self._clock)
         owner = self._deps.owner()
         if owner is None or owner.vm == self._deps.vm:
             raise NotOwner("the jobs have no owner now", step="ask")
-        return self._deps.peer_client.send(owner.address, request)
-
-    @singledispatchmethod
-    def _answer(self, request: PeerRequest, director: Director) -> PeerReply:
-        raise TypeError(f"unknown request {type(request).__name__}")
-
-    @_answer.register
-    def _(self, request: StateRequest, director: Director) -> PeerReply:
-        if not self._has_job(request.job_id, request.team, director):
-            return PeerReply(known=False)
-        return PeerReply(state=director.registry.state(request.job_id))
-
-    @_answer.register
-    def _(self, request: CancelRequest, director: Director) -> PeerReply:
-        if not self._has_job(request.job_id, request.team, director):
-            return PeerReply(known=False)
-        signal = director.cancel(request.job_id)
-        if signal is None:
-            return PeerReply(known=False)
-        stored = self._clock.wait(signal, CANCEL_TIMEOUT_S)
-        return PeerReply(known=stored, begun=not stored)
-
-    @_answer.register
-    def _(self, request: AcceptedJob, director: Director) -> PeerReply:
-        director.submit(request.submission, request.revision)
-        return PeerReply()
-
-    @_answer.register
-    def _(self, request: WaitingRequest, director: Director) -> PeerReply:
-        return PeerReply(waiting=director.registry.waiting(request.queue))
-
-    def _has_job(self, job_id: str, team: str, director: Director) -> bool:
-        graph = director.registry.graphs.get(job_id)
-        return graph is not None and graph.submission.visible_to(team)
+        request = attrs.evolve(request, known_digest=self._gate.version)
+        reply = self._deps.peer_client.send(owner.address, request)
+        self._gate.learn(reply)
+        return reply
 
     def _store_job(self, submission: Submission, started_at: float) -> bool:
         """Store a job; return whether it was stored now, and no other under its id before."""
@@ -333,6 +313,7 @@
         self._log.emit(LogEvent.JOB_ACCEPTED, job=submission.job_id, repeated=True)
 
     def _report_accepted(self, submission: Submission, revision: int) -> None:
+        self._gate.add_accepted(submission)
         self._meters.count(Meter.JOBS, outcome="accepted", cause="")
         self._log.emit(
             LogEvent.JOB_ACCEPTED,
--- a/src/lacewingmill/jobs/model.py
+++ b/src/lacewingmill/jobs/model.py
@@ -5,6 +5,7 @@
 import attrs
 
 __all__ = [
+    "HARD_DEADLINE_FACTOR",
     "AdviceTiming",
     "JobState",
     "JobTiming",
@@ -17,6 +18,9 @@
     "Unit",
 ]
 
+# By the platform's terms, an answer has no value after three times the allowed time.
+HARD_DEADLINE_FACTOR = 3.0
+
 
 class JobState(enum.Enum):
     """The state of a job that clients see."""
@@ -221,6 +225,13 @@
             ends.append(start + step.expected_s)
         return max(ends, default=0.0)
 
+    def useful_for_s(self) -> float:
+        """Return the time from submission, or from an occurrence's start, to the hard deadline.
+
+        :return: in seconds; later results have no value.
+        """
+        return HARD_DEADLINE_FACTOR * self.due_after_s()
+
     def due_after_s(self) -> float:
         """Return the time from submission, or from an occurrence's start time, to the due time.
 
--- a/src/lacewingmill/jobs/peers.py
+++ b/src/lacewingmill/jobs/peers.py
@@ -7,12 +7,14 @@
 from lacewingmill.codec import decode, encode
 from lacewingmill.exceptions import MessageInvalid, NotOwner, TransportError
 from lacewingmill.jobs.model import JobState, Submission
+from lacewingmill.load.digest import AdmissionDigest, DigestVersion
 
 __all__ = [
     "AcceptedJob",
     "AliveRequest",
     "PeerRequest",
     "CancelRequest",
+    "OwnerRequest",
     "PeerClient",
     "ReachRequest",
     "StateRequest",
@@ -36,6 +38,7 @@
 
     job_id: str
     team: str
+    known_digest: DigestVersion = DigestVersion()
 
 
 @attrs.frozen
@@ -44,6 +47,7 @@
 
     job_id: str
     team: str
+    known_digest: DigestVersion = DigestVersion()
 
 
 @attrs.frozen
@@ -55,6 +59,7 @@
 
     submission: Submission
     revision: int
+    known_digest: DigestVersion = DigestVersion()
 
 
 @attrs.frozen
@@ -62,6 +67,7 @@
     """A request for the number of jobs of a queue of which no task has started."""
 
     queue: str
+    known_digest: DigestVersion = DigestVersion()
 
 
 @attrs.frozen
@@ -88,17 +94,20 @@
     :param state: state of the job; ``None`` in replies to other requests.
     :param waiting: number of waiting jobs; 0 in replies to other requests.
     :param begun: whether the owner has begun a cancellation that it has not stored yet.
+    :param digest: the owner's digest of the load, if it is newer than the ``known_digest`` of the
+        request.
     """
 
     known: bool = True
     state: JobState | None = None
     waiting: int = 0
     begun: bool = False
+    digest: AdmissionDigest | None = None
 
 
-PeerRequest = (
-    StateRequest | CancelRequest | AcceptedJob | WaitingRequest | AliveRequest | ReachRequest
-)
+# Requests that only the owner answers; their replies may carry its digest of the load.
+OwnerRequest = StateRequest | CancelRequest | AcceptedJob | WaitingRequest
+PeerRequest = OwnerRequest | AliveRequest | ReachRequest
 REQUEST_TYPES: dict[str, type] = {
     "/jobs/state": StateRequest,
     "/jobs/cancel": CancelRequest,
--- a/src/lacewingmill/jobs/scheduler_inputs.py
+++ b/src/lacewingmill/jobs/scheduler_inputs.py
@@ -1,7 +1,7 @@
 """Conversion of units, workers and team quotas to the scheduler's messages."""
 
 from lacewingmill.jobs.graph import JobGraph
-from lacewingmill.jobs.model import QueueTable, Step, Unit
+from lacewingmill.jobs.model import HARD_DEADLINE_FACTOR, QueueTable, Step, Unit
 from lacewingmill.jobs.ports import WorkerEntry
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.ports import Clock
@@ -19,8 +19,6 @@
 
 __all__ = ["new_scheduler", "build_quotas_event", "unit_job", "worker_info_from_entry"]
 
-# By the platform's terms, an answer has no value after three times the allowed time.
-HARD_DEADLINE_FACTOR = 3.0
 # Jobs take seconds on this platform, so wide gangs get a reservation after seconds. A stopped task
 # with a checkpoint loses only the time to restore it. Users value an accelerator as much as eight
 # cores.
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -1,6 +1,6 @@
 """Collects events for the scheduler of each service, and plans once for many events."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from gevent.event import Event as GeventEvent
 
@@ -58,6 +58,11 @@
         self._table_version = 0
         self._failed_rounds: dict[str, int] = {}
 
+    @property
+    def schedulers(self) -> Mapping[str, Scheduler]:
+        """The schedulers by service."""
+        return self._schedulers
+
     @property
     def backlog(self) -> int:
         """Number of units that wait for workers."""
--- a/src/lacewingmill/platform/handlers.py
+++ b/src/lacewingmill/platform/handlers.py
@@ -7,7 +7,13 @@
 
 from lacewingmill.adapters.http_server import HttpRequest, HttpResponse
 from lacewingmill.codec import decode_json, encode_json
-from lacewingmill.exceptions import JobRefused, MessageInvalid, OutcomeUnknown, RequestInvalid
+from lacewingmill.exceptions import (
+    JobRefused,
+    MessageInvalid,
+    NoRoom,
+    OutcomeUnknown,
+    RequestInvalid,
+)
 from lacewingmill.jobs.job_api import JobApi
 from lacewingmill.jobs.model import JobTiming, Queue, Step, Submission
 from lacewingmill.platform.fields import Clock, Duration, Integer
@@ -63,7 +69,7 @@
         except RequestInvalid as exc:
             return _error(exc.status, exc.message)
         except JobRefused as exc:
-            response = _error(503, exc.message)
+            response = _error(429 if isinstance(exc, NoRoom) else 503, exc.message)
             return attrs.evolve(
                 response, headers={"Retry-After": str(max(1, round(exc.retry_after_s)))}
             )
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -106,6 +106,11 @@
         actions, state.actions = state.actions, []
         return actions
 
+    @property
+    def state(self) -> SchedulerState:
+        """The state of the scheduler, for pictures of the load; only the scheduler changes it."""
+        return self._state
+
     @property
     def cluster(self) -> Cluster:
         """The workers of the cell and their accelerators."""
