Admission: no forecast for load above 600 workers

Cause: a forecast grows with the workers; at 3,000 it would hold up the owner. Change: above 600 workers nothing is refused for load.

--- a/src/lacewingmill/load/room.py
+++ b/src/lacewingmill/load/room.py
@@ -33,6 +33,8 @@
 SEEN_S = 30.0
 # Share of the running work that may end before its forecast's early time.
 EARLIER_SHARE = 0.1
+# With more workers a forecast would hold up the owner for tens of milliseconds.
+MAX_WORKERS = 600
 # Bounds the digest that the forecast goes into.
 MAX_STARTS = 24
 # Quota that running jobs may give back while a forecast is in use counts as left, in seconds.
@@ -115,7 +117,8 @@
         """Return the forecast for a scheduler's state."""
         self._observe(state, now)
         limits = self._limits() if now - self._started_at >= SEEN_S else None
-        if now - self._grown_at < GROWING_S or not state.queue:
+        too_many = len(state.cluster.workers) > MAX_WORKERS
+        if now - self._grown_at < GROWING_S or too_many or not state.queue:
             return RoomForecast(now, limits=limits)
         starts = self._starts(state, now)
         urgent_waits = any(start.rank == 0 for start in starts)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -412,6 +412,18 @@
     assert calls["call"] < MAX_CALLS
 
 
+def test_nothing_is_refused_for_load_among_more_workers_than_a_forecast_may_cost():
+    scheduler = make_scheduler(601)
+    forecaster = RoomForecaster(0.0)
+    for seconds in range(40):
+        forecaster.forecast(scheduler.state, float(seconds))
+    for number in range(601):
+        add_job(scheduler, f"{number}", make_submission(0, accelerators=8), SETTLED_S)
+    start_queued(scheduler, SETTLED_S)
+    add_job(scheduler, "waiting", make_submission(accelerators=8, expected_s=500.0), SETTLED_S)
+    assert not forecaster.forecast(scheduler.state, SETTLED_S).starts
+
+
 def test_the_digest_of_a_large_load_is_small():
     scheduler = large_load()
     maker = settle(scheduler)
