Evictions for urgent work: patience, whole-gang plans, reasons and losses

Cause: an urgent job stopped whatever was cheapest at once, also what was about to end, counted a gang's whole loss on each of its workers, and stopped work for jobs that would be late all the same.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -122,7 +122,7 @@
         )
         self.registry = JobRegistry(self.store_writer, clock, meters)
         self._advice = AdviceCache(deps.advisor, clock, log, self.registry, deps.table)
-        self._planner = UnitPlanner(clock, log, deps.table, self._execute_contained)
+        self._planner = UnitPlanner(clock, log, deps.table, self._execute_contained, deps.limits)
         self.pool = WorkerPool(
             deps.orders, self.store_writer, self._planner, log, self._services, self._connect
         )
@@ -438,7 +438,7 @@
 
     @_execute.register
     def _(self, action: EvictGang) -> None:
-        self._runner.evict(action.job_id, action.for_job)
+        self._runner.evict(action)
 
     @_execute.register
     def _(self, action: StopGang) -> None:
--- a/src/lacewingmill/jobs/scheduler_inputs.py
+++ b/src/lacewingmill/jobs/scheduler_inputs.py
@@ -1,10 +1,14 @@
 """Conversion of units, workers and team quotas to the scheduler's messages."""
 
+import attrs
+
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.model import QueueTable, Step, Unit
 from lacewingmill.jobs.ports import WorkerEntry
+from lacewingmill.jobs.settings import PlatformLimits
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.ports import Clock
+from lacewingmill.scheduling.eviction_policy import EvictionRules
 from lacewingmill.scheduling.messages import (
     GuaranteesChanged,
     Job,
@@ -46,9 +50,17 @@
 )
 
 
-def new_scheduler() -> Scheduler:
-    """Return a scheduler for the workers of one service."""
-    return Scheduler(JOB_RULES, JOB_FAILURE_RULES)
+def new_scheduler(limits: PlatformLimits | None = None) -> Scheduler:
+    """Return a scheduler for the workers of one service.
+
+    :param limits: time limits of the platform; without them, urgent work within its team's quota
+        evicts at once.
+    """
+    if limits is None:
+        return Scheduler(JOB_RULES, JOB_FAILURE_RULES)
+    rules = attrs.evolve(JOB_RULES, checkpoint_loss_s=limits.restore_s)
+    evictions = EvictionRules(limits.guaranteed_begin_s, limits.longest_stop_s)
+    return Scheduler(rules, JOB_FAILURE_RULES, evictions)
 
 
 def worker_info_from_entry(entry: WorkerEntry) -> WorkerInfo:
--- a/src/lacewingmill/jobs/settings.py
+++ b/src/lacewingmill/jobs/settings.py
@@ -15,12 +15,19 @@
     :param longest_hold_s: longest lease of the runs on a worker, in seconds.
     :param kept_s: how long the state of a job must be readable after its end, in seconds.
     :param config_in_force_s: time within which a new configuration must be in force, in seconds.
+    :param guaranteed_begin_s: time from its acceptance within which urgent work of a team's quota
+        must have begun, in seconds; 0 when it is unknown.
+    :param longest_stop_s: longest time that the stop of a run takes, in seconds.
+    :param restore_s: time to restore a checkpoint, in seconds.
     """
 
     grace_s: float
     longest_hold_s: float
     kept_s: float
     config_in_force_s: float
+    guaranteed_begin_s: float = 0.0
+    longest_stop_s: float = 1.0
+    restore_s: float = 0.6
 
 
 @attrs.frozen
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -8,6 +8,7 @@
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.model import QueueTable, Unit
 from lacewingmill.jobs.scheduler_inputs import build_quotas_event, new_scheduler, unit_job
+from lacewingmill.jobs.settings import PlatformLimits
 from lacewingmill.jobs.units import ActiveUnit, Member
 from lacewingmill.ports import Clock
 from lacewingmill.scheduling.messages import (
@@ -39,6 +40,7 @@
 
     :param table: returns the configuration in force; ``None`` before the first one was read.
     :param execute: executes an action of a scheduler.
+    :param limits: time limits of the platform.
     """
 
     def __init__(
@@ -47,12 +49,14 @@
         log: EventLog,
         table: Callable[[], QueueTable | None],
         execute: Callable[[Action], None],
+        limits: PlatformLimits | None = None,
     ):
         self.wake = GeventEvent()
         self._clock = clock
         self._log = log
         self._table = table
         self._execute = execute
+        self._limits = limits
         self._schedulers: dict[str, Scheduler] = {}
         self._events: list[tuple[str, Event]] = []
         self._table_version = 0
@@ -187,7 +191,7 @@
     def _scheduler(self, service: str) -> Scheduler:
         scheduler = self._schedulers.get(service)
         if scheduler is None:
-            scheduler = self._schedulers[service] = new_scheduler()
+            scheduler = self._schedulers[service] = new_scheduler(self._limits)
             self._table_version = 0
         return scheduler
 
--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -18,6 +18,7 @@
 from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.ports import Clock, Meter, Meters
 from lacewingmill.scheduling.messages import (
+    EvictGang,
     GangRejected,
     GangReleased,
     GangStarted,
@@ -145,17 +146,22 @@
         else:
             self.close(active, CloseReason.REJECTED, "")
 
-    def evict(self, unit_id: str, for_unit: str) -> None:
-        """Stop a unit, so that another unit can use its workers.
-
-        :param for_unit: id of the unit that needs the workers.
-        """
+    def evict(self, action: EvictGang) -> None:
+        """Stop a unit, so that another unit can use its workers."""
+        unit_id = action.job_id
         active = self._active.get(unit_id)
         if active is None:
             self._planner.feed_all(GangReleased(unit_id, 0.0))
             return
-        self._meters.count(Meter.EVICTIONS)
-        self._log.emit(LogEvent.UNIT_EVICTED, unit=unit_id, for_unit=for_unit)
+        self._meters.count(Meter.EVICTIONS, reason=action.reason.value)
+        self._meters.observe(Meter.EVICTED_WORK, action.lost_s)
+        self._log.emit(
+            LogEvent.UNIT_EVICTED,
+            unit=unit_id,
+            for_unit=action.for_job,
+            reason=action.reason.value,
+            lost_s=round(action.lost_s, 1),
+        )
         self.close(active, CloseReason.EVICTED, "")
 
     def cancel_job(self, graph: JobGraph) -> None:
--- a/src/lacewingmill/platform/settings.py
+++ b/src/lacewingmill/platform/settings.py
@@ -12,6 +12,9 @@
 MS_PER_S = 1000.0
 # The shortest time of the users' sites.
 DEFAULT_CONFIG_IN_FORCE_MS = 2000.0
+# The longest times of the users' sites.
+DEFAULT_STOP_MS = 1000.0
+DEFAULT_RESTORE_MS = 600.0
 
 
 def load_platform_settings(path: Path) -> JobVmSettings:
@@ -47,10 +50,12 @@
             grace_s=fields.number("bounds.grace_s"),
             longest_hold_s=fields.seconds("bounds.max_hold_ms"),
             kept_s=fields.number("bounds.status_s"),
-            config_in_force_s=fields.number_or_default(
+            config_in_force_s=fields.seconds_or_default(
                 "bounds.config_apply_ms", DEFAULT_CONFIG_IN_FORCE_MS
-            )
-            / MS_PER_S,
+            ),
+            guaranteed_begin_s=fields.seconds_or_default("bounds.reclaim_ms", 0.0),
+            longest_stop_s=fields.seconds_or_default("bounds.stop_timeout_ms", DEFAULT_STOP_MS),
+            restore_s=fields.seconds_or_default("bounds.restore_ms", DEFAULT_RESTORE_MS),
         ),
     )
 
@@ -126,3 +131,7 @@
     def seconds(self, name: str) -> float:
         """Return a field that is in milliseconds, converted to seconds."""
         return self.number(name) / MS_PER_S
+
+    def seconds_or_default(self, name: str, default_ms: float) -> float:
+        """Return a field that is in milliseconds, or the default, converted to seconds."""
+        return self.number_or_default(name, default_ms) / MS_PER_S
--- a/src/lacewingmill/ports.py
+++ b/src/lacewingmill/ports.py
@@ -34,7 +34,11 @@
     JOBS = ("lacewingmill_jobs", "Jobs by outcome and cause")
     RUNS = ("lacewingmill_runs", "Runs of tasks by their end")
     ORDERS = ("lacewingmill_orders", "Starts ordered by what the worker made of them")
-    EVICTIONS = ("lacewingmill_evictions", "Units that gave their workers back to others")
+    EVICTIONS = ("lacewingmill_evictions", "Units that gave their workers back, by reason")
+    EVICTED_WORK = (
+        "lacewingmill_evicted_work_seconds",
+        "Accelerator-seconds of work that the eviction of a unit threw away",
+    )
     STORED = ("lacewingmill_stored_seconds", "From a hand-in to its being stored")
     FIRST_START = ("lacewingmill_first_start_seconds", "From acceptance to the first start ordered")
     SHOWN = ("lacewingmill_shown_seconds", "From the end of a job to its being stored and shown")
--- a/src/lacewingmill/scheduling/claims.py
+++ b/src/lacewingmill/scheduling/claims.py
@@ -2,6 +2,7 @@
 
 from lacewingmill.scheduling.cluster import WorkerState
 from lacewingmill.scheduling.guarantees import Slot
+from lacewingmill.scheduling.messages import EvictionReason
 from lacewingmill.scheduling.placement import PlacementRules, find_block
 from lacewingmill.scheduling.reclaim import plan_reclaim
 from lacewingmill.scheduling.records import JobRecord, JobState
@@ -80,7 +81,9 @@
         self._state.pending_claims[record.job.job_id] = record
         record.note(now, f"claims its guarantee; evicts {', '.join(victims) or 'no further jobs'}")
         for victim in victims:
-            self._state.evict(self._state.records[victim], record.job.job_id, now)
+            self._state.evict(
+                self._state.records[victim], record.job.job_id, now, EvictionReason.GUARANTEED
+            )
 
     def _claim_rules(self, record: JobRecord, now: float) -> PlacementRules:
         shape = record.job.shape
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -3,6 +3,8 @@
 All times are in seconds on the clock of the scheduler's caller.
 """
 
+import enum
+
 import attrs
 
 from lacewingmill.models import Adjacency, Shape, Vm
@@ -11,6 +13,7 @@
     "Action",
     "DomainsEvacuated",
     "EvictGang",
+    "EvictionReason",
     "Event",
     "FailJob",
     "GangRejected",
@@ -402,17 +405,29 @@
     guaranteed: bool
 
 
+class EvictionReason(enum.Enum):
+    """What a gang is evicted for."""
+
+    GUARANTEED = "guaranteed"
+    BEYOND_QUOTA = "beyond_quota"
+    MOVE = "move"
+    MEMBER_LOST = "member_lost"
+
+
 @attrs.frozen
 class EvictGang(Action):
     """Checkpoint a gang if possible, stop and release it, then report ``GangReleased``.
 
     :param for_job: the job that needs the accelerators, or what else the gang is evicted for;
         empty when a worker of the gang was lost.
+    :param lost_s: accelerator-seconds of work that the eviction throws away.
     """
 
     job_id: str
     for_job: str
     checkpoint: bool
+    reason: EvictionReason = EvictionReason.MEMBER_LOST
+    lost_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -1,24 +1,39 @@
 """Placement of urgent jobs: within their team's quota and, by limited evictions, beyond it."""
 
+import enum
+
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, WorkerState
-from lacewingmill.scheduling.messages import Job
+from lacewingmill.scheduling.eviction_policy import (
+    accelerator_equivalent,
+    claim_stop_at,
+    ends_in_time,
+    evictable_beyond_quota,
+    eviction_cost,
+    is_on_time,
+    latest_stop_at,
+    max_loss,
+)
+from lacewingmill.scheduling.messages import EvictionReason
 from lacewingmill.scheduling.placement import PlacementRules, find_block
 from lacewingmill.scheduling.reclaim import (
     ReclaimLimits,
     ReclaimPlan,
-    accelerator_equivalent,
     plan_reclaim,
+    victims_of_claim,
 )
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.state import SchedulerState
 
 __all__ = ["QuotaPlanner"]
 
-# An urgent job beyond its team's quota may cause the loss of at most this multiple of its own
-# accelerator time: measured in lost accelerator time, an answer in time is worth about twice the
-# accelerator time that it takes on the users' platform.
-MAX_LOSS_FACTOR = 2.0
+
+class _Outcome(enum.Enum):
+    """What became of an urgent job in a planning round."""
+
+    PLACED = enum.auto()
+    POSTPONED = enum.auto()
+    BLOCKED = enum.auto()
 
 
 class QuotaPlanner:
@@ -44,12 +59,71 @@
             signature = (job.shape, job.needs, guaranteed, avoided)
             if signature in unplaceable:
                 continue
-            if not self._place(record, avoided, guaranteed, now):
+            outcome = self._place(record, avoided, guaranteed, now)
+            if outcome is not _Outcome.PLACED:
                 unplaceable.add(signature)
                 record.blocked_by = "workers that are free or hold work that it may evict"
-            elif guaranteed:
+            if guaranteed and outcome is not _Outcome.BLOCKED:
                 held[team] = needed
 
+    def evict_deferred(self, now: float) -> None:
+        """Evict what has not ended by itself for the pending claims that waited for it."""
+        for record in self._state.pending_claims.values():
+            if record.evicts_at and now >= record.evicts_at:
+                self._evict_deferred(record, now)
+
+    def _evict_deferred(self, record: JobRecord, now: float) -> None:
+        state = self._state
+        shape = record.job.shape
+        guaranteed = record.protected
+        state.count_pending(shape, record.block, -1)
+        victims = victims_of_claim(
+            state.cluster,
+            shape,
+            record.block,
+            state.records,
+            now,
+            state.rules,
+            ReclaimLimits(is_exempt=None if guaranteed else _is_exempt_beyond_quota),
+        )
+        state.count_pending(shape, record.block, 1)
+        self._evict(record, victims, record.evicts_at, guaranteed, now)
+
+    def _evict(
+        self,
+        record: JobRecord,
+        victims: tuple[str, ...],
+        stop_at: float,
+        guaranteed: bool,
+        now: float,
+    ) -> None:
+        """Evict the victims of a claim, except those that may end by themselves in time.
+
+        :param stop_at: last moment for the evictions, in seconds.
+        """
+        state = self._state
+        reason = EvictionReason.GUARANTEED if guaranteed else EvictionReason.BEYOND_QUOTA
+        deferred = False
+        for victim in victims:
+            victim_record = state.records[victim]
+            if self._may_end(victim_record, stop_at, guaranteed, now):
+                deferred = True
+                continue
+            state.evict(victim_record, record.job.job_id, now, reason)
+        record.evicts_at = stop_at if deferred else 0.0
+
+    def _may_end(self, victim: JobRecord, stop_at: float, guaranteed: bool, now: float) -> bool:
+        """Return whether a victim is left to end by itself.
+
+        No forecast counts once the last moment for a stop has come; beyond a quota, a gang that is
+        nearly done has as long to end as its stop would take.
+        """
+        state = self._state
+        patience_s = 0.0 if guaranteed else state.eviction_rules.stop_s
+        if now >= stop_at + patience_s:
+            return False
+        return ends_in_time(state.forecast(victim, now), max(now, stop_at), state.eviction_rules)
+
     def _quota_usage(self) -> dict[tuple[str, str], int]:
         """Return how many accelerators of each team's quota are in use, by service and team."""
         held: dict[tuple[str, str], int] = {}
@@ -62,27 +136,56 @@
 
     def _place(
         self, record: JobRecord, avoided: frozenset[str], guaranteed: bool, now: float
-    ) -> bool:
+    ) -> _Outcome:
         state = self._state
         rules = self._free_rules(record, avoided, now)
         shapes = state.candidate_shapes(record.job, now)
         for shape in shapes:
             block = find_block(state.cluster, shape, rules)
             if block is not None:
-                self._claim_block(record, block, (), guaranteed, now)
-                return True
+                self._claim_block(record, block, (), now, guaranteed, now)
+                return _Outcome.PLACED
+        expected_s = state.expected_s(record.job)
+        if not guaranteed and not is_on_time(record.job, expected_s, state.eviction_rules, now):
+            return _Outcome.BLOCKED
+        latest = latest_stop_at(record.job, expected_s, guaranteed, state.eviction_rules, now)
+        stop_at = claim_stop_at(latest, now)
         for shape in shapes:
-            plan = self._plan_reclaim(record, shape, avoided, guaranteed, now)
-            if plan is not None:
-                self._claim_block(record, plan.block, plan.victims, guaranteed, now)
-                return True
-        return False
+            plan = self._plan_reclaim(record, shape, avoided, guaranteed, stop_at, now)
+            if plan is None:
+                continue
+            if plan.cost > max_loss(record.job, expected_s, state.rules):
+                if not guaranteed:
+                    continue
+                if now < latest:
+                    return _Outcome.POSTPONED
+            self._claim_block(record, plan.block, plan.victims, stop_at, guaranteed, now)
+            return _Outcome.PLACED
+        if guaranteed and self._withdraw_deferred_claims(now):
+            return self._place(record, avoided, guaranteed, now)
+        return _Outcome.BLOCKED
+
+    def _withdraw_deferred_claims(self, now: float) -> bool:
+        """Queue claims beyond quotas again that wait for ends, and return whether there are any.
+
+        Their room may be all that is left for guaranteed work.
+        """
+        state = self._state
+        claims = [
+            record
+            for record in state.pending_claims.values()
+            if record.evicts_at and not record.protected
+        ]
+        for record in claims:
+            state.requeue(record, now, "gives its block to guaranteed work")
+        return bool(claims)
 
     def _claim_block(
         self,
         record: JobRecord,
         block: Block,
         victims: tuple[str, ...],
+        stop_at: float,
         guaranteed: bool,
         now: float,
     ) -> None:
@@ -101,10 +204,9 @@
         state.pending_claims[record.job.job_id] = record
         record.note(
             now,
-            f"waits for the eviction of {', '.join(victims) or 'jobs that are already stopping'}",
+            f"waits for the end of {', '.join(victims) or 'jobs that are already stopping'}",
         )
-        for victim in victims:
-            state.evict(state.records[victim], record.job.job_id, now)
+        self._evict(record, victims, stop_at, guaranteed, now)
 
     def _plan_reclaim(
         self,
@@ -112,16 +214,17 @@
         shape: Shape,
         avoided: frozenset[str],
         guaranteed: bool,
+        stop_at: float,
         now: float,
     ) -> ReclaimPlan | None:
         state = self._state
-        job = record.job
         limits = ReclaimLimits(
-            is_exempt=None if guaranteed else _is_urgent,
+            is_exempt=None if guaranteed else _is_exempt_beyond_quota,
             units=lambda worker_state: self._allowed_units(record, worker_state, avoided, now),
             by_cost=True,
+            cost=lambda victim: self._cost(victim, stop_at, guaranteed, now),
         )
-        plan = plan_reclaim(
+        return plan_reclaim(
             state.cluster,
             shape,
             state.records,
@@ -130,16 +233,14 @@
             state.rules,
             limits,
         )
-        if plan is None or guaranteed:
-            return plan
-        return plan if plan.cost <= self._max_loss(job) else None
-
-    def _max_loss(self, job: Job) -> float:
-        return (
-            MAX_LOSS_FACTOR
-            * self._state.expected_s(job)
-            * accelerator_equivalent(job.shape, self._state.rules)
-        )
+
+    def _cost(self, victim: JobRecord, stop_at: float, guaranteed: bool, now: float) -> float:
+        """Return the cost of clearing a victim: the idle room until its end, or its lost work."""
+        state = self._state
+        if not self._may_end(victim, stop_at, guaranteed, now):
+            return eviction_cost(victim, now, state.rules)
+        wait_s = max(0.0, state.forecast(victim, now).likely_at - now)
+        return wait_s * accelerator_equivalent(victim.job.shape, state.rules)
 
     def _free_rules(self, record: JobRecord, avoided: frozenset[str], now: float) -> PlacementRules:
         shape = record.job.shape
@@ -161,5 +262,5 @@
         return self._state.allowed_units(record.job, worker_state, now)
 
 
-def _is_urgent(record: JobRecord) -> bool:
-    return record.job.urgent
+def _is_exempt_beyond_quota(record: JobRecord) -> bool:
+    return not evictable_beyond_quota(record)
--- a/src/lacewingmill/scheduling/reclaim.py
+++ b/src/lacewingmill/scheduling/reclaim.py
@@ -11,6 +11,7 @@
 
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, WorkerState
+from lacewingmill.scheduling.eviction_policy import eviction_cost
 from lacewingmill.scheduling.order import OrderRules
 from lacewingmill.scheduling.placement import PlacementRules, find_block
 from lacewingmill.scheduling.records import JobRecord, JobState
@@ -18,12 +19,10 @@
 __all__ = [
     "ReclaimPlan",
     "ReclaimLimits",
-    "eviction_cost",
     "plan_reclaim",
-    "accelerator_equivalent",
+    "victims_of_claim",
 ]
 
-EVICTION_PAUSE_S = 1.0
 SUSPECT_COST = 1e9  # in accelerator-seconds; far above the loss of any eviction
 ACTIVE_STATES = (JobState.STARTING, JobState.RUNNING)
 
@@ -39,11 +38,14 @@
         claims are taken to be protected.
     :param by_cost: whether to choose the workers that are cheapest to clear, rather than the
         fewest.
+    :param cost: returns the cost of evicting a job, in accelerator-seconds; by default the work
+        that is lost.
     """
 
     is_exempt: Callable[[JobRecord], bool] | None = None
     units: Callable[[WorkerState], int] | None = None
     by_cost: bool = False
+    cost: Callable[[JobRecord], float] | None = None
 
 
 @attrs.frozen
@@ -58,20 +60,6 @@
     cost: float
 
 
-def eviction_cost(record: JobRecord, now: float, rules: OrderRules) -> float:
-    """Return the work that is lost if a job is evicted, in accelerator-seconds."""
-    elapsed = max(0.0, now - record.started_at)
-    lost_s = rules.checkpoint_loss_s if record.job.checkpoint else elapsed
-    return (min(lost_s, elapsed) + EVICTION_PAUSE_S) * accelerator_equivalent(
-        record.job.shape, rules
-    )
-
-
-def accelerator_equivalent(shape: Shape, rules: OrderRules) -> float:
-    """Return the resources of a gang as a number of accelerators; at least 1."""
-    return max(1.0, shape.accelerators + rules.processor_weight * shape.processors * shape.units)
-
-
 def plan_reclaim(
     cluster: Cluster,
     shape: Shape,
@@ -104,20 +92,43 @@
         return min(chooser.clearable_units(worker_state, most), limits.units(worker_state))
 
     placement = PlacementRules(units, worker_cost, by_cost=limits.by_cost)
-    block = find_block(cluster, shape, placement, by_free=False)
-    if block is None:
-        return None
-    victims: dict[str, None] = {}
-    for part in block:
-        victims.update(
-            dict.fromkeys(chooser.choose_victims(cluster.workers[part.worker], part.units))
-        )
-    cost = sum(eviction_cost(records[victim], now, rules) for victim in victims)
-    return ReclaimPlan(block, tuple(victims), cost)
+
+    def plan() -> ReclaimPlan | None:
+        block = find_block(cluster, shape, placement, by_free=False)
+        return None if block is None else chooser.plan(cluster, block)
+
+    best = plan()
+    if best is None or not limits.by_cost:
+        return best
+    spread = frozenset(victim for victim in best.victims if len(records[victim].workers) > 1)
+    if not spread:
+        return best
+    chooser.evicted = spread
+    other = plan()
+    return other if other is not None and other.cost < best.cost else best
+
+
+def victims_of_claim(
+    cluster: Cluster,
+    shape: Shape,
+    block: Block,
+    records: dict[str, JobRecord],
+    now: float,
+    rules: OrderRules,
+    limits: ReclaimLimits,
+) -> tuple[str, ...]:
+    """Return the jobs that are still to be evicted from the block of a pending claim.
+
+    The claim itself must not be counted among the pending ones.
+    """
+    return _VictimChooser(shape, records, now, rules, limits).plan(cluster, block).victims
 
 
 class _VictimChooser:
-    """Chooses the gangs to evict from a single worker."""
+    """Chooses the gangs to evict from a single worker.
+
+    ``evicted`` holds gangs that are taken to be evicted in any case, at no further cost.
+    """
 
     def __init__(
         self,
@@ -132,6 +143,18 @@
         self._shape = shape
         self._records = records
         self._now = now
+        self._costs: dict[str, float] = {}
+        self.evicted: frozenset[str] = frozenset()
+
+    def plan(self, cluster: Cluster, block: Block) -> ReclaimPlan:
+        """Return the plan that frees a block."""
+        victims: dict[str, None] = {}
+        for part in block:
+            worker_state = cluster.workers[part.worker]
+            victims.update(dict.fromkeys(worker_state.members.keys() & self.evicted))
+            victims.update(dict.fromkeys(self.choose_victims(worker_state, part.units)))
+        cost = sum(self._eviction_cost(victim) for victim in victims)
+        return ReclaimPlan(block, tuple(victims), cost)
 
     def clearing_cost(self, worker_state: WorkerState, units: int) -> float:
         """Return the accelerator-seconds lost by freeing room for ``units`` members on a worker."""
@@ -200,18 +223,28 @@
         )
         for job_id, units_held in worker_state.members.items():
             record = self._records[job_id]
-            if record.state is JobState.EVICTING:
+            if record.state is JobState.EVICTING or job_id in self.evicted:
                 deficit.subtract(record.job.shape, units_held)
         return deficit
 
     def _evictable(self, job_id: str) -> bool:
         record = self._records[job_id]
+        if job_id in self.evicted:
+            return False
         if self._limits.is_exempt is not None and self._limits.is_exempt(record):
             return False
         return not record.protected and record.state in ACTIVE_STATES
 
     def _eviction_cost(self, job_id: str) -> float:
-        return eviction_cost(self._records[job_id], self._now, self._rules)
+        cost = self._costs.get(job_id)
+        if cost is None:
+            record = self._records[job_id]
+            if self._limits.cost is not None:
+                cost = self._limits.cost(record)
+            else:
+                cost = eviction_cost(record, self._now, self._rules)
+            self._costs[job_id] = cost
+        return cost
 
 
 @attrs.define
--- a/src/lacewingmill/scheduling/records.py
+++ b/src/lacewingmill/scheduling/records.py
@@ -46,6 +46,9 @@
     :param started_at: start time of the current run, in seconds.
     :param cancelled: whether the job was cancelled while its gang was being evicted.
     :param blocked_by: what the job waits for; empty when unknown.
+    :param evictions: how often the job was evicted for another one.
+    :param evicts_at: last moment for the stops that a pending claim has deferred, in seconds; 0
+        when there are none.
     """
 
     job: Job
@@ -58,6 +61,8 @@
     started_at: float = 0.0
     cancelled: bool = False
     blocked_by: str = ""
+    evictions: int = 0
+    evicts_at: float = 0.0
     notes: list[Note] = attrs.field(factory=list)
 
     @property
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from lacewingmill.scheduling.claims import ClaimPlanner
 from lacewingmill.scheduling.cluster import Cluster
 from lacewingmill.scheduling.defragmenter import Defragmenter
+from lacewingmill.scheduling.eviction_policy import EvictionRules
 from lacewingmill.scheduling.guarantees import SlotTable
 from lacewingmill.scheduling.messages import (
     Action,
@@ -58,10 +59,18 @@
 
     :param rules: order, reservations and defragmentation of jobs on borrowed accelerators.
     :param failure_rules: thresholds at which failures count against a worker or a job.
+    :param eviction_rules: time limits of evictions for urgent work.
     """
 
-    def __init__(self, rules: OrderRules | None = None, failure_rules: FailureRules | None = None):
-        self._state = SchedulerState(rules or OrderRules(), failure_rules or FailureRules())
+    def __init__(
+        self,
+        rules: OrderRules | None = None,
+        failure_rules: FailureRules | None = None,
+        eviction_rules: EvictionRules | None = None,
+    ):
+        self._state = SchedulerState(
+            rules or OrderRules(), failure_rules or FailureRules(), eviction_rules
+        )
         self._claims = ClaimPlanner(self._state)
         self._quotas = QuotaPlanner(self._state)
         self._borrowing = BorrowPlanner(self._state)
@@ -98,6 +107,7 @@
         state = self._state
         self._start_probes(now)
         self._claims.start_pending(now)
+        self._quotas.evict_deferred(now)
         self._claims.place(now)
         self._quotas.place(now)
         self._borrowing.place(now)
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -8,8 +8,15 @@
 from lacewingmill.load.speeds import WorkerSpeeds
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, WorkerState
+from lacewingmill.scheduling.eviction_policy import EvictionRules, lost_work
 from lacewingmill.scheduling.guarantees import Slot, SlotTable
-from lacewingmill.scheduling.messages import Action, EvictGang, Job, StartGang
+from lacewingmill.scheduling.messages import (
+    Action,
+    EvictGang,
+    EvictionReason,
+    Job,
+    StartGang,
+)
 from lacewingmill.scheduling.order import OrderRules
 from lacewingmill.scheduling.placement import PackingScorer
 from lacewingmill.scheduling.records import JobRecord, JobState
@@ -38,10 +45,17 @@
 
     :param rules: order, reservations and defragmentation of jobs on borrowed accelerators.
     :param failure_rules: thresholds at which failures count against a worker or a job.
+    :param eviction_rules: time limits of evictions for urgent work.
     """
 
-    def __init__(self, rules: OrderRules, failure_rules: FailureRules):
+    def __init__(
+        self,
+        rules: OrderRules,
+        failure_rules: FailureRules,
+        eviction_rules: EvictionRules | None = None,
+    ):
         self.rules = rules
+        self.eviction_rules = eviction_rules or EvictionRules()
         self.cluster = Cluster()
         self.slot_table = SlotTable(self.cluster)
         self.records: dict[str, JobRecord] = {}
@@ -89,11 +103,20 @@
         record.note(now, f"{why}; waits again")
         self.queue[record.job.job_id] = record
 
-    def evict(self, record: JobRecord, for_job: str, now: float) -> None:
+    def evict(
+        self,
+        record: JobRecord,
+        for_job: str,
+        now: float,
+        reason: EvictionReason = EvictionReason.MOVE,
+    ) -> None:
         """Order the eviction of a gang; it holds its accelerators until it is released."""
+        job = record.job
+        lost_s = lost_work(record, now, self.rules)
         record.state = JobState.EVICTING
+        record.evictions += 1
         record.note(now, f"evicted for {for_job}")
-        self.actions.append(EvictGang(record.job.job_id, for_job, record.job.checkpoint))
+        self.actions.append(EvictGang(job.job_id, for_job, job.checkpoint, reason, lost_s))
 
     def end(self, record: JobRecord) -> None:
         """Release what a job holds and forget it."""
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -29,8 +29,9 @@
 class SimulatedCell:
     """A scheduler whose gangs start at once and whose evictions take half a second."""
 
-    def __init__(self, workers=1, quotas=(), rules=None):
-        self.scheduler = Scheduler(rules or OrderRules(defragment=False))
+    def __init__(self, workers=1, quotas=(), rules=None, evictions=None):
+        rules = rules or OrderRules(defragment=False)
+        self.scheduler = Scheduler(rules, eviction_rules=evictions)
         self.now = 0.0
         self.started = {}
         self.evicted = []
@@ -53,8 +54,9 @@
     def submit(self, job_id, *, team="other", accelerators=1, members=1, urgent=False, **fields):
         adjacency = Adjacency.CLUSTER if members > 1 else Adjacency.WORKER
         expected_s = fields.pop("expected_s", 10.0)
+        due_s = fields.pop("due_s", 30)
         shape = Shape("s", accelerators * members, adjacency, 1, 1, expected_s, members)
-        objective = Objective(0 if urgent else 2, self.now + 30, self.now + 90)
+        objective = Objective(0 if urgent else 2, self.now + due_s, self.now + 3 * due_s)
         job = Job(
             job_id,
             SERVICE,
