Evictions: expected cost of waiting for an end; claims beyond a quota give up costly victims

Change: the cost of waiting includes the eviction as far as the gang may run longer; a claim beyond its quota is queued again when what it still has to stop is worth more.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -83,7 +83,11 @@
     CANCEL_NOT_STORED = (419, "warning", "A cancellation was not stored, or that is not known.")
     UNIT_ORDERED = (420, "info", "The start of a unit was ordered; gives its workers.")
     UNIT_REJECTED = (421, "warning", "A worker did not start a member; the unit is placed again.")
-    UNIT_EVICTED = (422, "info", "A unit is stopped for another one; gives the reason and the lost work.")
+    UNIT_EVICTED = (
+        422,
+        "info",
+        "A unit is stopped for another one; gives why and the lost work.",
+    )
     UNIT_PARKED = (423, "warning", "No set of workers can hold a unit; it is retried later.")
     ADVICE_MISSING = (
         427,
--- a/src/lacewingmill/scheduling/eviction_policy.py
+++ b/src/lacewingmill/scheduling/eviction_policy.py
@@ -19,6 +19,7 @@
     "latest_stop_at",
     "lost_work",
     "max_loss",
+    "wait_cost",
 ]
 
 # Time between the stop of a gang and its next start, in seconds.
@@ -27,6 +28,9 @@
 # accelerator time: measured in lost accelerator time, an answer in time is worth about twice the
 # accelerator time that it takes on the users' platform.
 MAX_LOSS_FACTOR = 2.0
+# Shares of the runs that end after the likely and the late moment of their forecast.
+LIKELY_SHARE = 0.5
+LATE_SHARE = 0.1
 # A job evicted this often is stopped again only for guaranteed work, so that it can finish.
 MAX_EVICTIONS = 2
 # Room that becomes free for a claim stands idle until the claim has all of it, so a claim waits for
@@ -113,12 +117,32 @@
     return min(latest, now + MAX_CLAIM_WAIT_S)
 
 
-def ends_in_time(forecast: RunForecast, latest: float, limits: EvictionRules) -> bool:
-    """Return whether a gang is forecast to leave its room as early as a stop at ``latest`` would.
+def ends_in_time(forecast: RunForecast, stop_at: float, limits: EvictionRules) -> bool:
+    """Return whether a gang is likely to leave its room as early as a stop at ``stop_at`` would.
 
-    :param latest: last moment for the stop, in seconds.
+    :param stop_at: last moment for the stop, in seconds.
     """
-    return forecast.likely_at <= latest + limits.stop_s
+    return forecast.likely_at <= stop_at + limits.stop_s
+
+
+def wait_cost(
+    record: JobRecord,
+    forecast: RunForecast,
+    stop_at: float,
+    limits: EvictionRules,
+    rules: OrderRules,
+    now: float,
+) -> float:
+    """Return the expected cost of waiting for a gang's end, in accelerator-seconds.
+
+    It is the idle room until the likely end and, as far as the gang may run longer, its eviction.
+
+    :param stop_at: last moment for the stop, in seconds.
+    """
+    wait_s = max(0.0, forecast.likely_at - now)
+    runs_on = LATE_SHARE if forecast.late_at <= stop_at + limits.stop_s else LIKELY_SHARE
+    idle = wait_s * accelerator_equivalent(record.job.shape, rules)
+    return idle + runs_on * eviction_cost(record, now, rules)
 
 
 def evictable_beyond_quota(record: JobRecord) -> bool:
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -5,7 +5,6 @@
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, WorkerState
 from lacewingmill.scheduling.eviction_policy import (
-    accelerator_equivalent,
     claim_stop_at,
     ends_in_time,
     evictable_beyond_quota,
@@ -13,6 +12,7 @@
     is_on_time,
     latest_stop_at,
     max_loss,
+    wait_cost,
 )
 from lacewingmill.scheduling.messages import EvictionReason
 from lacewingmill.scheduling.placement import PlacementRules, find_block
@@ -68,7 +68,7 @@
 
     def evict_deferred(self, now: float) -> None:
         """Evict what has not ended by itself for the pending claims that waited for it."""
-        for record in self._state.pending_claims.values():
+        for record in list(self._state.pending_claims.values()):
             if record.evicts_at and now >= record.evicts_at:
                 self._evict_deferred(record, now)
 
@@ -87,8 +87,16 @@
             ReclaimLimits(is_exempt=None if guaranteed else _is_exempt_beyond_quota),
         )
         state.count_pending(shape, record.block, 1)
+        if not guaranteed and self._loses_too_much(record, victims, now):
+            state.requeue(record, now, "would stop work that is worth more")
+            return
         self._evict(record, victims, record.evicts_at, guaranteed, now)
 
+    def _loses_too_much(self, record: JobRecord, victims: tuple[str, ...], now: float) -> bool:
+        state = self._state
+        cost = sum(eviction_cost(state.records[victim], now, state.rules) for victim in victims)
+        return cost > max_loss(record.job, state.expected_s(record.job), state.rules)
+
     def _evict(
         self,
         record: JobRecord,
@@ -235,12 +243,12 @@
         )
 
     def _cost(self, victim: JobRecord, stop_at: float, guaranteed: bool, now: float) -> float:
-        """Return the cost of clearing a victim: the idle room until its end, or its lost work."""
+        """Return the expected cost of clearing a victim, in accelerator-seconds."""
         state = self._state
         if not self._may_end(victim, stop_at, guaranteed, now):
             return eviction_cost(victim, now, state.rules)
-        wait_s = max(0.0, state.forecast(victim, now).likely_at - now)
-        return wait_s * accelerator_equivalent(victim.job.shape, state.rules)
+        forecast = state.forecast(victim, now)
+        return wait_cost(victim, forecast, stop_at, state.eviction_rules, state.rules, now)
 
     def _free_rules(self, record: JobRecord, avoided: frozenset[str], now: float) -> PlacementRules:
         shape = record.job.shape
--- a/tests/test_evictions.py
+++ b/tests/test_evictions.py
@@ -28,7 +28,8 @@
 def finish_patients(cell, run_s):
     for name in [name for name in cell.started if name.startswith("patient")]:
         del cell.started[name]
-        cell.handle_event(JobFinished(name, run_s))
+        cell.scheduler.apply(JobFinished(name, run_s), cell.now)
+    cell.handle_event(Tick())
 
 
 def test_an_urgent_burst_waits_for_ends_that_come_in_time():
