Gangs that cannot end before a worker leaves are stopped early; urgent victims cost their worth

Change: scheduling/departures.py compares the work in vain with what a stop loses; the time from a notice to the departure is learned (departure_notices.py, from bounds.drain_ms on). The cost of an urgent victim includes its worth.

--- a/src/lacewingmill/jobs/scheduler_inputs.py
+++ b/src/lacewingmill/jobs/scheduler_inputs.py
@@ -59,7 +59,9 @@
     if limits is None:
         return Scheduler(JOB_RULES, JOB_FAILURE_RULES)
     rules = attrs.evolve(JOB_RULES, checkpoint_loss_s=limits.restore_s)
-    evictions = EvictionRules(limits.guaranteed_begin_s, limits.longest_stop_s)
+    evictions = EvictionRules(
+        limits.guaranteed_begin_s, limits.longest_stop_s, notice_s=limits.notice_s
+    )
     return Scheduler(rules, JOB_FAILURE_RULES, evictions)
 
 
--- a/src/lacewingmill/jobs/settings.py
+++ b/src/lacewingmill/jobs/settings.py
@@ -19,6 +19,7 @@
         must have begun, in seconds; 0 when it is unknown.
     :param longest_stop_s: longest time that the stop of a run takes, in seconds.
     :param restore_s: time to restore a checkpoint, in seconds.
+    :param notice_s: shortest time that a worker stays after the notice that it leaves, in seconds.
     """
 
     grace_s: float
@@ -28,6 +29,7 @@
     guaranteed_begin_s: float = 0.0
     longest_stop_s: float = 1.0
     restore_s: float = 0.6
+    notice_s: float = 3.0
 
 
 @attrs.frozen
--- a/src/lacewingmill/platform/settings.py
+++ b/src/lacewingmill/platform/settings.py
@@ -15,6 +15,8 @@
 # The longest times of the users' sites.
 DEFAULT_STOP_MS = 1000.0
 DEFAULT_RESTORE_MS = 600.0
+# The shortest time of the users' sites.
+DEFAULT_DRAIN_MS = 3000.0
 
 
 def load_platform_settings(path: Path) -> JobVmSettings:
@@ -55,6 +57,7 @@
             ),
             guaranteed_begin_s=fields.seconds_or_default("bounds.reclaim_ms", 0.0),
             longest_stop_s=fields.seconds_or_default("bounds.stop_timeout_ms", DEFAULT_STOP_MS),
+            notice_s=fields.seconds_or_default("bounds.drain_ms", DEFAULT_DRAIN_MS),
             restore_s=fields.seconds_or_default("bounds.restore_ms", DEFAULT_RESTORE_MS),
         ),
     )
--- a/src/lacewingmill/scheduling/eviction_policy.py
+++ b/src/lacewingmill/scheduling/eviction_policy.py
@@ -9,6 +9,7 @@
 from lacewingmill.scheduling.records import JobRecord
 
 __all__ = [
+    "EVICTION_PAUSE_S",
     "EvictionRules",
     "accelerator_equivalent",
     "ends_in_time",
@@ -46,11 +47,14 @@
         0 when it is unknown: such work then evicts at once.
     :param stop_s: longest time that a stop takes, in seconds.
     :param reserve_s: time kept for planning rounds and orders, in seconds.
+    :param notice_s: shortest time that workers stay after the notice that they leave, in seconds;
+        0 when it is unknown: what runs there is then never stopped early.
     """
 
     begin_s: float = 0.0
     stop_s: float = 1.0
     reserve_s: float = 0.8
+    notice_s: float = 0.0
 
 
 def accelerator_equivalent(shape: Shape, rules: OrderRules) -> float:
@@ -66,9 +70,15 @@
 
 
 def eviction_cost(record: JobRecord, now: float, rules: OrderRules) -> float:
-    """Return the cost of an eviction, in accelerator-seconds: lost work, pause and repetition."""
-    pause = EVICTION_PAUSE_S * accelerator_equivalent(record.job.shape, rules)
-    return (lost_work(record, now, rules) + pause) * (1 + record.evictions)
+    """Return the cost of an eviction, in accelerator-seconds.
+
+    It is the lost work and the pause, more for each earlier eviction. An urgent job is late after
+    an eviction, so its own worth is added.
+    """
+    job = record.job
+    pause = EVICTION_PAUSE_S * accelerator_equivalent(job.shape, rules)
+    cost = (lost_work(record, now, rules) + pause) * (1 + record.evictions)
+    return cost + max_loss(job, job.shape.expected_s, rules) if job.urgent else cost
 
 
 def max_loss(job: Job, expected_s: float, rules: OrderRules) -> float:
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -411,6 +411,7 @@
     GUARANTEED = "guaranteed"
     BEYOND_QUOTA = "beyond_quota"
     MOVE = "move"
+    DEPARTURE = "departure"
     MEMBER_LOST = "member_lost"
 
 
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from lacewingmill.scheduling.claims import ClaimPlanner
 from lacewingmill.scheduling.cluster import Cluster
 from lacewingmill.scheduling.defragmenter import Defragmenter
+from lacewingmill.scheduling.departures import DeparturePlanner
 from lacewingmill.scheduling.eviction_policy import EvictionRules
 from lacewingmill.scheduling.guarantees import SlotTable
 from lacewingmill.scheduling.messages import (
@@ -75,6 +76,7 @@
         self._quotas = QuotaPlanner(self._state)
         self._borrowing = BorrowPlanner(self._state)
         self._defragmenter = Defragmenter(self._state)
+        self._departures = DeparturePlanner(self._state)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Handle an event and return the actions to take.
@@ -111,6 +113,7 @@
         self._claims.place(now)
         self._quotas.place(now)
         self._borrowing.place(now)
+        self._departures.stop_doomed(now)
         if state.rules.defragment:
             self._defragmenter.defragment(now)
         actions, state.actions = state.actions, []
@@ -284,6 +287,7 @@
             self._state.cluster.forget(event.worker)
         if worker_state is None:
             return
+        self._state.departures.record_departure(event.worker, now)
         self._state.requeue_claims_on(event.worker, now)
         for job_id in list(worker_state.gangs):
             self._handle_lost_worker(self._state.records[job_id], event.worker, now)
@@ -299,6 +303,7 @@
         if event.worker not in self._state.cluster.workers or event.worker in self._state.silent:
             return
         self._state.silent.add(event.worker)
+        self._state.departures.record_departure(event.worker, now)
         self._state.cordon_worker(event.worker, now)
 
     @_apply.register
@@ -316,10 +321,12 @@
             return
         if event.stays:
             state.leaving.discard(event.worker)
+            state.departures.withdraw(event.worker)
             state.cluster.remember(worker_state.info)
             state.uncordon_worker(event.worker)
             return
         state.mark_leaving(event.worker, now)
+        state.departures.record_notice(event.worker, now)
 
     @_apply.register
     def _(self, event: GuaranteesChanged, now: float) -> None:
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -8,6 +8,7 @@
 from lacewingmill.load.speeds import WorkerSpeeds
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, WorkerState
+from lacewingmill.scheduling.departure_notices import TYPICAL_FACTOR, DepartureNotices
 from lacewingmill.scheduling.eviction_policy import EvictionRules, lost_work
 from lacewingmill.scheduling.guarantees import Slot, SlotTable
 from lacewingmill.scheduling.messages import (
@@ -56,6 +57,7 @@
     ):
         self.rules = rules
         self.eviction_rules = eviction_rules or EvictionRules()
+        self.departures = DepartureNotices(TYPICAL_FACTOR * self.eviction_rules.notice_s)
         self.cluster = Cluster()
         self.slot_table = SlotTable(self.cluster)
         self.records: dict[str, JobRecord] = {}
