--- a/tests/test_evictions.py
+++ b/tests/test_evictions.py
@@ -4,17 +4,19 @@
 
 import pytest
 
+from lacewingmill.scheduling.departure_notices import DepartureNotices
 from lacewingmill.scheduling.eviction_policy import EvictionRules
 from lacewingmill.scheduling.messages import (
     GangReleased,
     JobFinished,
     Tick,
+    WorkerLeaving,
 )
 from standins.platform.fleet import job_id, step, wait_for_owner
 from tests.test_platform_path import run
 from tests.test_quotas import SimulatedCell
 
-RULES = EvictionRules(begin_s=2.9, stop_s=0.4)
+RULES = EvictionRules(begin_s=2.9, stop_s=0.4, notice_s=3.0)
 
 
 def full_cell(*, quota, workers=1, patient_s=10.0, **fields):
@@ -196,17 +198,81 @@
     assert len(cell.begun.keys() & cell.accepted.keys()) > 10
 
 
+def kill_owner_after_the_first_stop(fleet):
+    for _ in range(200):
+        fleet.clock.advance(0.02)
+        if any(entry.stops_at for entry in fleet.run_history.runs):
+            break
+    else:
+        raise AssertionError("nothing was stopped within 4 s")
+    fleet.kill(fleet.owner)
+    wait_for_owner(fleet)
+
+
 def test_an_eviction_is_finished_by_the_next_owner_when_the_owner_dies_before_the_start(fleet):
     """The stopped tasks and the urgent gang run, and none of them twice at the same time."""
     run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step(count=32)], "run_s=20", seconds=2.0)
     gang = [step(count=1, gpu=8, gang=True)]
     run(fleet, fleet.submit, "vm1", "urgent", job_id(2), gang, "run_s=1", seconds=0.1)
-    while not any(entry.stops_at for entry in fleet.run_history.runs):
-        fleet.clock.advance(0.02)
-    fleet.kill(fleet.owner)
-    wait_for_owner(fleet)
+    kill_owner_after_the_first_stop(fleet)
     fleet.clock.advance(6.0)
     assert run(fleet, fleet.state, fleet.owner, "urgent", job_id(2)) == "completed"
     fleet.clock.advance(45.0)
     assert run(fleet, fleet.state, fleet.owner, "patient", job_id(1)) == "completed"
     fleet.check_invariants()
+
+
+def leaving_cell(*, elapsed_s, free_workers, checkpoint=False):
+    """Return a cell with a gang on two workers, of which one is about to leave."""
+    cell = SimulatedCell(workers=2 + free_workers, evictions=RULES)
+    cell.submit("gang", accelerators=8, members=2, due_s=100, checkpoint=checkpoint)
+    cell.now = elapsed_s
+    cell.handle_event(WorkerLeaving(cell.started["gang"][0].worker))
+    return cell
+
+
+def test_a_gang_that_cannot_end_before_its_worker_leaves_starts_again_elsewhere():
+    cell = leaving_cell(elapsed_s=1.0, free_workers=1)
+    leaving = cell.started["gang"][0].worker
+    assert cell.evicted == ["gang"]
+    cell.release()
+    assert leaving not in {member.worker for member in cell.started["gang"]}
+
+
+@pytest.mark.parametrize(("elapsed_s", "free_workers"), [(8.0, 1), (1.0, 0)])
+def test_a_gang_runs_on_when_it_may_end_before_its_worker_leaves_or_has_no_other_room(
+    elapsed_s, free_workers
+):
+    cell = leaving_cell(elapsed_s=elapsed_s, free_workers=free_workers)
+    assert cell.evicted == []
+
+
+def test_a_worker_that_stays_keeps_its_gang():
+    cell = leaving_cell(elapsed_s=8.0, free_workers=1)
+    cell.handle_event(WorkerLeaving(cell.started["gang"][0].worker, stays=True))
+    cell.submit("other", due_s=100)
+    assert cell.evicted == []
+
+
+def test_short_notices_are_learned():
+    notices = DepartureNotices(4.5)
+    for number in range(12):
+        notices.record_notice(f"w{number}", 0.0)
+        notices.record_departure(f"w{number}", 1.8)
+    notices.record_notice("next", 10.0)
+    assert 11.8 <= notices.leaves_at("next") <= 12.0
+
+
+def test_a_run_on_a_leaving_worker_starts_again_elsewhere_although_the_owner_dies(fleet):
+    """The owner dies right after it has ordered the stop; no task runs twice at the same time."""
+    gang = [step(count=2, gpu=8, gang=True, est_runtime_ms=20000)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), gang, "run_s=9", seconds=1.0)
+    name = fleet.run_history.runs[0].executor
+    worker = next(each for each in fleet.executors if each.name == name)
+    fleet.operator.register(worker, state="draining")
+    kill_owner_after_the_first_stop(fleet)
+    fleet.clock.advance(20.0)
+    assert run(fleet, fleet.state, fleet.owner, "ordinary", job_id(1)) == "completed"
+    last = [entry for entry in fleet.run_history.runs if entry.outcome == "done"]
+    assert name not in {entry.executor for entry in last}
+    fleet.check_invariants()
