Evictions wait only for ends that are sure; documentation

Change: a claim waits for the 0.9 quantile only, and costly guaranteed claims are no longer postponed.

--- a/src/lacewingmill/scheduling/eviction_policy.py
+++ b/src/lacewingmill/scheduling/eviction_policy.py
@@ -15,7 +15,6 @@
     "ends_in_time",
     "eviction_cost",
     "evictable_beyond_quota",
-    "claim_stop_at",
     "is_on_time",
     "latest_stop_at",
     "lost_work",
@@ -29,8 +28,7 @@
 # accelerator time: measured in lost accelerator time, an answer in time is worth about twice the
 # accelerator time that it takes on the users' platform.
 MAX_LOSS_FACTOR = 2.0
-# Shares of the runs that end after the likely and the late moment of their forecast.
-LIKELY_SHARE = 0.5
+# Share of the runs that end after the late moment of their forecast.
 LATE_SHARE = 0.1
 # A job evicted this often is stopped again only for guaranteed work, so that it can finish.
 MAX_EVICTIONS = 2
@@ -100,7 +98,7 @@
 def latest_stop_at(
     job: Job, expected_s: float, guaranteed: bool, limits: EvictionRules, now: float
 ) -> float:
-    """Return the last moment at which gangs can be stopped for an urgent job, in seconds.
+    """Return the last moment at which gangs can be stopped for a claim made now, in seconds.
 
     For guaranteed work it is limited by the time in which such work must have begun; a job that
     can be on time is also limited by its soft deadline.
@@ -116,43 +114,27 @@
         latest = float("inf")
     if guaranteed:
         latest = min(latest, job.submitted_at + limits.begin_s - lead_s)
-    return max(now, latest)
-
-
-def claim_stop_at(latest: float, now: float) -> float:
-    """Return when a claim that is made now stops the gangs that have not ended by themselves.
-
-    :param latest: last moment for the stops, in seconds.
-    """
-    return min(latest, now + MAX_CLAIM_WAIT_S)
+    return max(now, min(latest, now + MAX_CLAIM_WAIT_S))
 
 
 def ends_in_time(forecast: RunForecast, stop_at: float, limits: EvictionRules) -> bool:
-    """Return whether a gang is likely to leave its room as early as a stop at ``stop_at`` would.
+    """Return whether a gang surely leaves its room as early as a stop at ``stop_at`` would.
+
+    A doubtful forecast does not count: room that is kept for a claim stands idle meanwhile.
 
     :param stop_at: last moment for the stop, in seconds.
     """
-    return forecast.likely_at <= stop_at + limits.stop_s
+    return forecast.late_at <= stop_at + limits.stop_s
 
 
-def wait_cost(
-    record: JobRecord,
-    forecast: RunForecast,
-    stop_at: float,
-    limits: EvictionRules,
-    rules: OrderRules,
-    now: float,
-) -> float:
-    """Return the expected cost of waiting for a gang's end, in accelerator-seconds.
+def wait_cost(record: JobRecord, forecast: RunForecast, rules: OrderRules, now: float) -> float:
+    """Return the expected cost of waiting for a gang that ends in time, in accelerator-seconds.
 
     It is the idle room until the likely end and, as far as the gang may run longer, its eviction.
-
-    :param stop_at: last moment for the stop, in seconds.
     """
     wait_s = max(0.0, forecast.likely_at - now)
-    runs_on = LATE_SHARE if forecast.late_at <= stop_at + limits.stop_s else LIKELY_SHARE
     idle = wait_s * accelerator_equivalent(record.job.shape, rules)
-    return idle + runs_on * eviction_cost(record, now, rules)
+    return idle + LATE_SHARE * eviction_cost(record, now, rules)
 
 
 def evictable_beyond_quota(record: JobRecord) -> bool:
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -1,11 +1,8 @@
 """Placement of urgent jobs: within their team's quota and, by limited evictions, beyond it."""
 
-import enum
-
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, WorkerState
 from lacewingmill.scheduling.eviction_policy import (
-    claim_stop_at,
     ends_in_time,
     evictable_beyond_quota,
     eviction_cost,
@@ -28,14 +25,6 @@
 __all__ = ["QuotaPlanner"]
 
 
-class _Outcome(enum.Enum):
-    """What became of an urgent job in a planning round."""
-
-    PLACED = enum.auto()
-    POSTPONED = enum.auto()
-    BLOCKED = enum.auto()
-
-
 class QuotaPlanner:
     """Places queued urgent jobs, evicting other work if necessary."""
 
@@ -59,11 +48,10 @@
             signature = (job.shape, job.needs, guaranteed, avoided)
             if signature in unplaceable:
                 continue
-            outcome = self._place(record, avoided, guaranteed, now)
-            if outcome is not _Outcome.PLACED:
+            if not self._place(record, avoided, guaranteed, now):
                 unplaceable.add(signature)
                 record.blocked_by = "workers that are free or hold work that it may evict"
-            if guaranteed and outcome is not _Outcome.BLOCKED:
+            elif guaranteed:
                 held[team] = needed
 
     def evict_deferred(self, now: float) -> None:
@@ -144,7 +132,7 @@
 
     def _place(
         self, record: JobRecord, avoided: frozenset[str], guaranteed: bool, now: float
-    ) -> _Outcome:
+    ) -> bool:
         state = self._state
         rules = self._free_rules(record, avoided, now)
         shapes = state.candidate_shapes(record.job, now)
@@ -152,26 +140,22 @@
             block = find_block(state.cluster, shape, rules)
             if block is not None:
                 self._claim_block(record, block, (), now, guaranteed, now)
-                return _Outcome.PLACED
+                return True
         expected_s = state.expected_s(record.job)
         if not guaranteed and not is_on_time(record.job, expected_s, state.eviction_rules, now):
-            return _Outcome.BLOCKED
-        latest = latest_stop_at(record.job, expected_s, guaranteed, state.eviction_rules, now)
-        stop_at = claim_stop_at(latest, now)
+            return False
+        stop_at = latest_stop_at(record.job, expected_s, guaranteed, state.eviction_rules, now)
         for shape in shapes:
             plan = self._plan_reclaim(record, shape, avoided, guaranteed, stop_at, now)
             if plan is None:
                 continue
-            if plan.cost > max_loss(record.job, expected_s, state.rules):
-                if not guaranteed:
-                    continue
-                if now < latest:
-                    return _Outcome.POSTPONED
+            if not guaranteed and plan.cost > max_loss(record.job, expected_s, state.rules):
+                continue
             self._claim_block(record, plan.block, plan.victims, stop_at, guaranteed, now)
-            return _Outcome.PLACED
+            return True
         if guaranteed and self._withdraw_deferred_claims(now):
             return self._place(record, avoided, guaranteed, now)
-        return _Outcome.BLOCKED
+        return False
 
     def _withdraw_deferred_claims(self, now: float) -> bool:
         """Queue claims beyond quotas again that wait for ends, and return whether there are any.
@@ -248,7 +232,7 @@
         if not self._may_end(victim, stop_at, guaranteed, now):
             return eviction_cost(victim, now, state.rules)
         forecast = state.forecast(victim, now)
-        return wait_cost(victim, forecast, stop_at, state.eviction_rules, state.rules, now)
+        return wait_cost(victim, forecast, state.rules, now)
 
     def _free_rules(self, record: JobRecord, avoided: frozenset[str], now: float) -> PlacementRules:
         shape = record.job.shape
