--- a/src/lacewingmill/scheduling/eviction_policy.py
+++ b/src/lacewingmill/scheduling/eviction_policy.py
@@ -19,6 +19,7 @@
     "latest_stop_at",
     "lost_work",
     "max_loss",
+    "victim_cost",
     "wait_cost",
 ]
 
@@ -68,14 +69,19 @@
 
 
 def eviction_cost(record: JobRecord, now: float, rules: OrderRules) -> float:
-    """Return the cost of an eviction, in accelerator-seconds.
+    """Return the lost work and the pause of an eviction, in accelerator-seconds."""
+    pause = EVICTION_PAUSE_S * accelerator_equivalent(record.job.shape, rules)
+    return lost_work(record, now, rules) + pause
 
-    It is the lost work and the pause, more for each earlier eviction. An urgent job is late after
-    an eviction, so its own worth is added.
+
+def victim_cost(record: JobRecord, now: float, rules: OrderRules) -> float:
+    """Return the cost of an eviction for urgent work, in accelerator-seconds.
+
+    It grows with each earlier eviction of the job. An urgent job is late after an eviction, so its
+    own worth is added.
     """
     job = record.job
-    pause = EVICTION_PAUSE_S * accelerator_equivalent(job.shape, rules)
-    cost = (lost_work(record, now, rules) + pause) * (1 + record.evictions)
+    cost = eviction_cost(record, now, rules) * (1 + record.evictions)
     return cost + max_loss(job, job.shape.expected_s, rules) if job.urgent else cost
 
 
@@ -134,7 +140,7 @@
     """
     wait_s = max(0.0, forecast.likely_at - now)
     idle = wait_s * accelerator_equivalent(record.job.shape, rules)
-    return idle + LATE_SHARE * eviction_cost(record, now, rules)
+    return idle + LATE_SHARE * victim_cost(record, now, rules)
 
 
 def evictable_beyond_quota(record: JobRecord) -> bool:
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -5,10 +5,10 @@
 from lacewingmill.scheduling.eviction_policy import (
     ends_in_time,
     evictable_beyond_quota,
-    eviction_cost,
     is_on_time,
     latest_stop_at,
     max_loss,
+    victim_cost,
     wait_cost,
 )
 from lacewingmill.scheduling.messages import EvictionReason
@@ -72,7 +72,10 @@
             state.records,
             now,
             state.rules,
-            ReclaimLimits(is_exempt=None if guaranteed else _is_exempt_beyond_quota),
+            ReclaimLimits(
+                is_exempt=None if guaranteed else _is_exempt_beyond_quota,
+                cost=lambda victim: victim_cost(victim, now, state.rules),
+            ),
         )
         state.count_pending(shape, record.block, 1)
         if not guaranteed and self._loses_too_much(record, victims, now):
@@ -82,7 +85,7 @@
 
     def _loses_too_much(self, record: JobRecord, victims: tuple[str, ...], now: float) -> bool:
         state = self._state
-        cost = sum(eviction_cost(state.records[victim], now, state.rules) for victim in victims)
+        cost = sum(victim_cost(state.records[victim], now, state.rules) for victim in victims)
         return cost > max_loss(record.job, state.expected_s(record.job), state.rules)
 
     def _evict(
@@ -230,7 +233,7 @@
         """Return the expected cost of clearing a victim, in accelerator-seconds."""
         state = self._state
         if not self._may_end(victim, stop_at, guaranteed, now):
-            return eviction_cost(victim, now, state.rules)
+            return victim_cost(victim, now, state.rules)
         forecast = state.forecast(victim, now)
         return wait_cost(victim, forecast, state.rules, now)
 
