--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -129,7 +129,9 @@
         self._advice = AdviceCache(deps.advisor, clock, log, self.registry, deps.table)
         self._digests = DigestMaker(owner_lease.owner.term)
         evacuations = EvacuationFeed(deps.evacuated_domains, deps.table, log)
-        self._planner = UnitPlanner(clock, log, deps.table, evacuations, self._execute_contained)
+        self._planner = UnitPlanner(
+            clock, log, deps.table, evacuations, self._execute_contained, deps.limits
+        )
         self.pool = WorkerPool(
             deps.orders, self.store_writer, self._planner, log, self._services, self._connect
         )
@@ -469,7 +471,7 @@
 
     @_execute.register
     def _(self, action: EvictGang) -> None:
-        self._runner.evict(action.job_id, action.for_job)
+        self._runner.evict(action)
 
     @_execute.register
     def _(self, action: StopGang) -> None:
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -9,6 +9,7 @@
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.model import QueueTable, Unit
 from lacewingmill.jobs.scheduler_inputs import build_quotas_event, new_scheduler, unit_job
+from lacewingmill.jobs.settings import PlatformLimits
 from lacewingmill.jobs.units import ActiveUnit, Member
 from lacewingmill.ports import Clock
 from lacewingmill.scheduling.messages import (
@@ -41,6 +42,7 @@
     :param table: returns the configuration in force; ``None`` before the first one was read.
     :param evacuations: tells the schedulers which failure domains are evacuated.
     :param execute: executes an action of a scheduler.
+    :param limits: time limits of the platform.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         table: Callable[[], QueueTable | None],
         evacuations: EvacuationFeed,
         execute: Callable[[Action], None],
+        limits: PlatformLimits | None = None,
     ):
         self.wake = GeventEvent()
         self._clock = clock
@@ -57,6 +60,7 @@
         self._table = table
         self._evacuations = evacuations
         self._execute = execute
+        self._limits = limits
         self._schedulers: dict[str, Scheduler] = {}
         self._events: list[tuple[str, Event]] = []
         self._table_version = 0
@@ -205,7 +209,7 @@
     def _scheduler(self, service: str) -> Scheduler:
         scheduler = self._schedulers.get(service)
         if scheduler is None:
-            scheduler = self._schedulers[service] = new_scheduler()
+            scheduler = self._schedulers[service] = new_scheduler(self._limits)
             self._table_version = 0
         return scheduler
 
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -14,6 +14,8 @@
 from lacewingmill.scheduling.claims import ClaimPlanner
 from lacewingmill.scheduling.cluster import Cluster
 from lacewingmill.scheduling.defragmenter import Defragmenter
+from lacewingmill.scheduling.departures import DeparturePlanner
+from lacewingmill.scheduling.eviction_policy import EvictionRules
 from lacewingmill.scheduling.guarantees import SlotTable
 from lacewingmill.scheduling.messages import (
     Action,
@@ -58,14 +60,23 @@
 
     :param rules: order, reservations and defragmentation of jobs on borrowed accelerators.
     :param failure_rules: thresholds at which failures count against a worker or a job.
+    :param eviction_rules: time limits of evictions for urgent work.
     """
 
-    def __init__(self, rules: OrderRules | None = None, failure_rules: FailureRules | None = None):
-        self._state = SchedulerState(rules or OrderRules(), failure_rules or FailureRules())
+    def __init__(
+        self,
+        rules: OrderRules | None = None,
+        failure_rules: FailureRules | None = None,
+        eviction_rules: EvictionRules | None = None,
+    ):
+        self._state = SchedulerState(
+            rules or OrderRules(), failure_rules or FailureRules(), eviction_rules
+        )
         self._claims = ClaimPlanner(self._state)
         self._quotas = QuotaPlanner(self._state)
         self._borrowing = BorrowPlanner(self._state)
         self._defragmenter = Defragmenter(self._state)
+        self._departures = DeparturePlanner(self._state)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Handle an event and return the actions to take.
@@ -98,9 +109,11 @@
         state = self._state
         self._start_probes(now)
         self._claims.start_pending(now)
+        self._quotas.evict_deferred(now)
         self._claims.place(now)
         self._quotas.place(now)
         self._borrowing.place(now)
+        self._departures.stop_doomed(now)
         if state.rules.defragment:
             self._defragmenter.defragment(now)
         actions, state.actions = state.actions, []
@@ -282,6 +295,7 @@
             self._state.cluster.forget(event.worker)
         if worker_state is None:
             return
+        self._state.departures.record_departure(event.worker, now)
         self._state.requeue_claims_on(event.worker, now)
         for job_id in list(worker_state.gangs):
             self._handle_lost_worker(self._state.records[job_id], event.worker, now)
@@ -297,6 +311,7 @@
         if event.worker not in self._state.cluster.workers or event.worker in self._state.silent:
             return
         self._state.silent.add(event.worker)
+        self._state.departures.record_departure(event.worker, now)
         self._state.cordon_workers((event.worker,), now)
 
     @_apply.register
@@ -314,10 +329,12 @@
             return
         if event.stays:
             state.leaving.discard(event.worker)
+            state.departures.withdraw(event.worker)
             state.cluster.remember(worker_state.info)
             state.uncordon_worker(event.worker)
             return
         state.mark_leaving(event.worker, now)
+        state.departures.record_notice(event.worker, now)
 
     @_apply.register
     def _(self, event: GuaranteesChanged, now: float) -> None:
