Order of waiting jobs: by the value that waiting loses

Cause: the order knew rank and due time alone. Under overload jobs that could only be late went before those that could still be in time, a team's burst took all room, and the reservation for wide gangs could go to one that was too late already.

Change: steps are ordered by the value that they are about to lose, for the room that their job still needs; near equals by what their teams use against their shares (load/team_use.py), then nearly done ones first. Both planners use the same order. The reservation goes to the gang whose last start is nearest. unit_too_late (429) and two metrics show it.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -21,6 +21,8 @@
     Job,
     JobFinished,
     JobSubmitted,
+    Needs,
+    Objective,
     SlotKey,
     StartGang,
     Tick,
@@ -29,7 +31,7 @@
 )
 from lacewingmill.scheduling.scheduler import Scheduler
 
-__all__ = ["Cost", "measure_cost"]
+__all__ = ["Cost", "measure_cost", "measure_round_us"]
 
 SIZES = (24, 240, 1000, 3800)
 WORKERS_PER_RACK = 16
@@ -37,6 +39,7 @@
 QUEUED_JOBS = 50
 ONE_ACCELERATOR = Shape("one", 1, Adjacency.WORKER, 2, 4, 3600)
 FOUR_ACCELERATORS = Shape("four", 4, Adjacency.WORKER, 2, 4, 3600)
+UNIT = Shape("unit", 1, Adjacency.WORKER, 4, 1, 5)
 WIDE_GANG = Shape("wide", 64, Adjacency.RACK, 2, 4, 7200)
 
 
@@ -103,6 +106,50 @@
     )
 
 
+def measure_round_us(workers: int = 176, waiting: int = 500, rounds: int = 300) -> float:
+    """Return the 99th percentile of a planning round while jobs with objectives wait.
+
+    All accelerators are in use; in each round some units end, so that others start.
+
+    :return: in microseconds of processor time, so that other processes count little.
+    """
+    rng = random.Random(1)
+    scheduler = Scheduler()
+    for number in range(workers):
+        rack = f"r{number // 12}"
+        scheduler.apply(WorkerJoined(WorkerInfo(f"w{number}", rack, "d0", 8, 64, 256)), 0.0)
+    numbers = iter(range(1_000_000))
+    seconds, running, waits = [], [], 0
+    for turn in range(rounds + 1):
+        now = turn * 0.1
+        ended = rng.sample(running, min(len(running), 20))
+        for job_id in ended:
+            running.remove(job_id)
+            scheduler.apply(JobFinished(job_id, 5.0), now)
+        missing = waiting - waits if turn else waiting + workers * 8
+        for _ in range(missing):
+            scheduler.apply(JobSubmitted(_make_unit(next(numbers), now)), now)
+        started = time.process_time()
+        actions = scheduler.plan(now)
+        if turn:
+            seconds.append(time.process_time() - started)
+        starts = [action.job_id for action in actions if isinstance(action, StartGang)]
+        for job_id in starts:
+            scheduler.apply(GangStarted(job_id), now)
+        running.extend(starts)
+        waits = scheduler.queued
+    return _p99_us(seconds)
+
+
+def _make_unit(number: int, now: float) -> Job:
+    """Return a unit of one accelerator, of a step of 13, of one of ten teams and three ranks."""
+    group = number // 13
+    rank = group % 3
+    job = _make_job(f"unit{number}", f"t{group % 10}", UNIT, False, now)
+    objective = Objective(rank, now + 8.0 + rank * 4, now + 24.0 + rank * 12)
+    return attrs.evolve(job, needs=Needs(group=f"g{group}"), objective=objective)
+
+
 def _release_victims(scheduler: Scheduler, running: list[str], now: float) -> None:
     evicting = [j for j, r in scheduler.records.items() if r.state.value == "evicting"]
     for job_id in evicting:
@@ -142,8 +189,14 @@
 def main() -> int:
     """Print the cost at one of the sizes in docs/CAPACITY.md."""
     parser = argparse.ArgumentParser(prog="bench.cost")
-    parser.add_argument("--workers", type=int, choices=SIZES, required=True)
+    parser.add_argument("--workers", type=int, choices=SIZES, default=SIZES[0])
+    parser.add_argument(
+        "--round", action="store_true", help="time rounds with 500 waiting units on 176 workers"
+    )
     args = parser.parse_args()
+    if args.round:
+        print(f"round_p99_us {measure_round_us():.0f}")
+        return 0
     cost = measure_cost(args.workers)
     text = ", ".join(f"{name} {value:.0f}" for name, value in attrs.asdict(cost).items())
     print(f"workers {args.workers}: {text}")
--- a/bench/simulate.py
+++ b/bench/simulate.py
@@ -15,6 +15,7 @@
 from lacewingmill.scheduling.cluster import Cluster
 from lacewingmill.scheduling.messages import (
     Action,
+    DeferJob,
     Event,
     EvictGang,
     FailJob,
@@ -92,9 +93,18 @@
 
 
 class Simulation:
-    """One run of a policy over a workload."""
+    """One run of a policy over a workload.
 
-    def __init__(self, deployment: Deployment, workload: Workload, policy: Policy):
+    :param tick_interval_s: time between ticks, in seconds.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        workload: Workload,
+        policy: Policy,
+        tick_interval_s: float = TICK_INTERVAL_S,
+    ):
         self.records: dict[str, SimulationRecord] = {}
         self.lost_accelerator_s = 0.0
         self.decision_s: list[float] = []
@@ -103,6 +113,7 @@
         self._deployment = deployment
         self._workload = workload
         self._policy = policy
+        self._tick_interval_s = tick_interval_s
         self._events: list = []
         self._sequence = itertools.count()
         self._silent: set[str] = set()
@@ -164,7 +175,7 @@
         if workload.silent is not None:
             at, worker = workload.silent
             self._schedule(at, lambda: self._make_silent(worker))
-        self._schedule(TICK_INTERVAL_S, self._tick)
+        self._schedule(self._tick_interval_s, self._tick)
 
     def _schedule(self, when: float, callback) -> None:
         heapq.heappush(self._events, (when, next(self._sequence), callback))
@@ -175,6 +186,8 @@
             return
         span = end - self.now
         cluster, configured_shapes = self._policy.cluster, self._policy.configured_shapes
+        if not configured_shapes:  # fragmentation is undefined
+            return
         share = fragmentation_ratio(cluster, configured_shapes)
         gangs = self._waiting_for_adjacency(cluster)
         self._fragmentation_integral += span * share
@@ -210,7 +223,7 @@
 
     def _tick(self) -> None:
         self._send_event(Tick())
-        self._schedule(self.now + TICK_INTERVAL_S, self._tick)
+        self._schedule(self.now + self._tick_interval_s, self._tick)
 
     def _submit(self, timed: TimedJob) -> None:
         record = self.records[timed.job.job_id] = SimulationRecord(timed)
@@ -293,6 +306,10 @@
         record.attempt += 1
         record.placement = ()
 
+    @_execute.register
+    def _(self, action: DeferJob) -> None:
+        return  # the job goes on waiting
+
     @_execute.register
     def _(self, action: RefuseJob) -> None:
         self._end_job(self.records[action.job_id], "not_run")
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -14,6 +14,7 @@
     GuaranteesChanged,
     Job,
     SlotKey,
+    TeamQuota,
     WorkerInfo,
 )
 
@@ -79,6 +80,7 @@
     :param processors: per worker.
     :param memory_gb: per worker, in gigabytes.
     :param guarantees: for each guarantee the team, the index of the job kind and the count.
+    :param quotas: accelerators guaranteed to the urgent jobs of teams.
     :param accelerators: per worker.
     """
 
@@ -90,6 +92,7 @@
     kinds: tuple[JobKind, ...]
     guarantees: tuple[tuple[str, int, int], ...]
     teams: tuple[str, ...]
+    quotas: tuple[TeamQuota, ...] = ()
     workers: int = 24
     workers_per_rack: int = 6
     accelerators: int = 8
@@ -118,7 +121,8 @@
             )
             for team, kind, count in self.guarantees
         )
-        return GuaranteesChanged(slots, (), tuple(kind.shape for kind in self.kinds))
+        shapes = tuple(kind.shape for kind in self.kinds)
+        return GuaranteesChanged(slots, (), shapes, self.quotas)
 
 
 DEPLOYMENTS = {
--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -84,6 +84,7 @@
     UNIT_ORDERED = (420, "info", "The start of a unit was ordered; gives its workers.")
     UNIT_REJECTED = (421, "warning", "A worker did not start a member; the unit is placed again.")
     UNIT_EVICTED = (422, "info", "A unit is stopped to free its workers for another unit.")
+    UNIT_TOO_LATE = (429, "info", "A waiting unit would end too late; others go before it.")
     UNIT_PARKED = (423, "warning", "No set of workers can hold a unit; it is retried later.")
     ADVICE_MISSING = (
         427,
--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -169,6 +169,11 @@
         "Units that hold workers, at the VM that directs",
         director_gauge(lambda director: director.running),
     )
+    metrics.add_gauge(
+        "lacewingmill_largest_team_use",
+        "Accelerators of the team that uses most, against its share, at the VM that directs",
+        director_gauge(lambda director: director.largest_team_use),
+    )
     metrics.add_gauge(
         "lacewingmill_configuration_version",
         "Version of the configuration in force at this VM",
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -40,6 +40,7 @@
 from lacewingmill.ports import Clock, Meter, Meters
 from lacewingmill.scheduling.messages import (
     Action,
+    DeferJob,
     EvictGang,
     FailJob,
     JobCancelled,
@@ -153,6 +154,11 @@
         """Number of units that wait for workers."""
         return self._planner.backlog + len(self._deferred)
 
+    @property
+    def largest_team_use(self) -> float:
+        """The largest use of a team against its share; 1.0 for a team that uses its share."""
+        return self._planner.largest_team_use
+
     @property
     def running(self) -> int:
         """Number of units that occupy workers."""
@@ -449,6 +455,11 @@
         self._log.emit(LogEvent.UNIT_PARKED, unit=action.job_id, reason=action.reason)
         self._defer(action.job_id)
 
+    @_execute.register
+    def _(self, action: DeferJob) -> None:
+        self._deps.meters.count(Meter.TOO_LATE)
+        self._log.emit(LogEvent.UNIT_TOO_LATE, unit=action.job_id)
+
     @_execute.register
     def _(self, action: FailJob) -> None:
         self._defer(action.job_id)
--- a/src/lacewingmill/jobs/scheduler_inputs.py
+++ b/src/lacewingmill/jobs/scheduler_inputs.py
@@ -118,6 +118,7 @@
             submitted_at + HARD_DEADLINE_FACTOR * due_after_s,
         ),
         lasting=step.lasting,
+        group_size=1 if step.gang else step.count,
     )
 
 
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -63,6 +63,12 @@
         """Number of units that wait for workers."""
         return sum(scheduler.queued for scheduler in self._schedulers.values())
 
+    @property
+    def largest_team_use(self) -> float:
+        """The largest use of a team against its share; 1.0 for a team that uses its share."""
+        schedulers = self._schedulers.values()
+        return max((scheduler.largest_team_use for scheduler in schedulers), default=0.0)
+
     def feed(self, service: str, event: Event) -> None:
         """Queue an event of a service for the next planning round."""
         self._scheduler(service)
--- a/src/lacewingmill/load/__init__.py
+++ b/src/lacewingmill/load/__init__.py
@@ -2,5 +2,6 @@
 
 from lacewingmill.load.forecast import RunForecast
 from lacewingmill.load.speeds import WorkerSpeeds
+from lacewingmill.load.team_use import TeamUse
 
-__all__ = ["RunForecast", "WorkerSpeeds"]
+__all__ = ["RunForecast", "TeamUse", "WorkerSpeeds"]
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -4,9 +4,10 @@
 
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.cluster import Block, WorkerState
-from lacewingmill.scheduling.messages import Job, Needs
-from lacewingmill.scheduling.order import has_slack, objective_key, priority
+from lacewingmill.scheduling.messages import DeferJob, Job, Needs
+from lacewingmill.scheduling.order import has_slack
 from lacewingmill.scheduling.placement import PlacementRules, find_block
+from lacewingmill.scheduling.queue_order import QueueOrder
 from lacewingmill.scheduling.records import JobRecord
 from lacewingmill.scheduling.reservation import plan_reservation
 from lacewingmill.scheduling.state import SchedulerState
@@ -20,14 +21,16 @@
 class BorrowPlanner:
     """Places queued jobs on accelerators that their team has no guarantee for."""
 
-    def __init__(self, state: SchedulerState):
+    def __init__(self, state: SchedulerState, order: QueueOrder):
         self._state = state
+        self._order = order
 
     def place(self, now: float) -> None:
         """Place queued jobs in order; a reservation keeps a block for one wide gang."""
         if not self._state.queue:
             return
-        ranked = sorted(self._state.queue.values(), key=lambda record: self._priority(record, now))
+        ranked = self._order.sort(self._state.queue.values(), now)
+        self._report_too_late(ranked, now)
         self._refresh_reservation(ranked, now)
         unplaceable: set[tuple[Shape, bool, bool, Needs, frozenset[str]]] = set()
         for record in ranked:
@@ -48,14 +51,19 @@
             del self._state.queue[job.job_id]
             self._state.start(record, block, now)
 
-    def _priority(self, record: JobRecord, now: float) -> tuple[float | str, ...]:
-        job = record.job
-        expected = max(self._state.expected_s(job) - record.done_s, 0.0)
-        if job.objective is not None:
-            return objective_key(job.objective, expected, now)
-        waited = now - job.submitted_at
-        key = priority(self._state.rules, expected, job.shape.accelerators, waited)
-        return (key, job.submitted_at, job.job_id)
+    def _report_too_late(self, records: list[JobRecord], now: float) -> None:
+        """Report each job once that has become too late while it waits."""
+        late: dict[str, bool] = {}  # the units of a step are alike
+        for record in records:
+            if record.deferred:
+                continue
+            name = record.job.needs.group or record.job.job_id
+            if name not in late:
+                late[name] = self._order.too_late(record, now)
+            if late[name]:
+                record.deferred = True
+                record.note(now, "is expected to end too late; others go first")
+                self._state.actions.append(DeferJob(record.job.job_id))
 
     def _find_block(self, record: JobRecord, avoided: frozenset[str], now: float) -> Block | None:
         rules = self._placement_rules(record, avoided, now)
@@ -143,29 +151,37 @@
             return block
         return None
 
-    def _refresh_reservation(self, ranked: list[JobRecord], now: float) -> None:
+    def _keeps_reservation(self, now: float) -> bool:
+        """Return whether the reservation stays: its job waits, can be in time, and is not due."""
         current = self._state.reservation
-        if current is not None and (
-            current.job_id not in self._state.queue or now >= current.start_at
-        ):
-            self._state.reservation = current = None
-        if current is not None:
+        if current is None or now >= current.start_at:
+            return False
+        record = self._state.queue.get(current.job_id)
+        return record is not None and not self._order.too_late(record, now)
+
+    def _refresh_reservation(self, ranked: list[JobRecord], now: float) -> None:
+        if self._keeps_reservation(now):
             return
-        starving = [record for record in ranked if self._state.is_starving(record, now)]
+        self._state.reservation = None
+        starving = [
+            record
+            for record in ranked
+            if self._state.is_starving(record, now) and not self._order.too_late(record, now)
+        ]
         if not starving:
             return
-        oldest = min(starving, key=lambda record: record.job.submitted_at)
-        shape = self._state.candidate_shapes(oldest.job, now)[0]
-        avoided = self._state.avoided_workers(oldest.job, now)
+        chosen = min(starving, key=lambda record: self._order.last_start(record))
+        shape = self._state.candidate_shapes(chosen.job, now)[0]
+        avoided = self._state.avoided_workers(chosen.job, now)
 
         def units(worker_state: WorkerState) -> int:
             if worker_state.info.worker in avoided:
                 return 0
-            return self._state.allowed_units(oldest.job, worker_state, now)
+            return self._state.allowed_units(chosen.job, worker_state, now)
 
         self._state.reservation = plan_reservation(
             self._state.cluster,
-            attrs.evolve(oldest.job, shape=shape),
+            attrs.evolve(chosen.job, shape=shape),
             self._state.records,
             self._state.run_times,
             now,
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Action",
+    "DeferJob",
     "DomainsEvacuated",
     "EvictGang",
     "Event",
@@ -173,6 +174,7 @@
     :param objective: its priority and deadlines; jobs without one are ordered by their expected
         run times.
     :param lasting: whether it runs until it is cancelled, whatever its shape's run time says.
+    :param group_size: number of jobs of its group, which are of use only when all of them are done.
     """
 
     job_id: str
@@ -187,6 +189,7 @@
     needs: Needs = Needs()
     objective: Objective | None = None
     lasting: bool = False
+    group_size: int = 1
 
     @property
     def evictable(self) -> bool:
@@ -439,6 +442,13 @@
     reason: str
 
 
+@attrs.frozen
+class DeferJob(Action):
+    """Report that a waiting job is expected to miss its last moment, so that others go first."""
+
+    job_id: str
+
+
 def block_name(adjacency: Adjacency) -> str:
     """Return the kind of block that an adjacency asks for, in words for operators."""
     return adjacency.value.replace("_", " ")
--- a/src/lacewingmill/scheduling/order.py
+++ b/src/lacewingmill/scheduling/order.py
@@ -4,7 +4,7 @@
 
 from lacewingmill.scheduling.messages import Objective
 
-__all__ = ["OrderRules", "has_slack", "objective_key", "priority"]
+__all__ = ["OrderRules", "has_slack", "priority"]
 
 # Declared run times are off by about half, so a job has slack only beyond that margin.
 RUN_TIME_MARGIN = 0.5
@@ -58,14 +58,3 @@
     :param expected_s: expected remaining run time, in seconds.
     """
     return now + expected_s * (1.0 + RUN_TIME_MARGIN) < objective.due_at
-
-
-def objective_key(objective: Objective, expected_s: float, now: float) -> tuple[float, ...]:
-    """Return the sort key of a waiting job with an objective; the lowest key goes first.
-
-    A job that is expected to miss its hard deadline goes last.
-
-    :param expected_s: expected remaining run time, in seconds.
-    """
-    too_late = now + expected_s > objective.last_at
-    return (float(too_late), float(objective.rank), objective.due_at)
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -4,6 +4,7 @@
 from lacewingmill.scheduling.cluster import Block, WorkerState
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.placement import PlacementRules, find_block
+from lacewingmill.scheduling.queue_order import QueueOrder
 from lacewingmill.scheduling.reclaim import (
     ReclaimLimits,
     ReclaimPlan,
@@ -24,15 +25,16 @@
 class QuotaPlanner:
     """Places queued urgent jobs, evicting other work if necessary."""
 
-    def __init__(self, state: SchedulerState):
+    def __init__(self, state: SchedulerState, order: QueueOrder):
         self._state = state
+        self._order = order
 
     def place(self, now: float) -> None:
-        """Start urgent jobs or evict work for them, oldest first."""
+        """Start urgent jobs or evict work for them, in the order of the queue."""
         urgent = [record for record in self._state.queue.values() if record.job.urgent]
         if not urgent:
             return
-        urgent.sort(key=lambda record: record.job.submitted_at)
+        urgent = self._order.sort(urgent, now)
         held = self._quota_usage()
         unplaceable: set[tuple] = set()
         for record in urgent:
--- a/src/lacewingmill/scheduling/records.py
+++ b/src/lacewingmill/scheduling/records.py
@@ -45,6 +45,7 @@
     :param done_s: run time preserved by checkpoints, in seconds.
     :param started_at: start time of the current run, in seconds.
     :param cancelled: whether the job was cancelled while its gang was being evicted.
+    :param deferred: whether the job waits behind others because it is expected to end too late.
     :param blocked_by: what the job waits for; empty when unknown.
     """
 
@@ -57,6 +58,7 @@
     done_s: float = 0.0
     started_at: float = 0.0
     cancelled: bool = False
+    deferred: bool = False
     blocked_by: str = ""
     notes: list[Note] = attrs.field(factory=list)
 
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -45,10 +45,12 @@
 )
 from lacewingmill.scheduling.order import OrderRules
 from lacewingmill.scheduling.placement import PackingScorer
+from lacewingmill.scheduling.queue_order import QueueOrder
 from lacewingmill.scheduling.quotas import QuotaPlanner
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.state import HELD_STATES, SchedulerState
 from lacewingmill.scheduling.suspects import FailureRules
+from lacewingmill.scheduling.value_order import WaitingOrder
 
 __all__ = ["Scheduler"]
 
@@ -58,13 +60,20 @@
 
     :param rules: order, reservations and defragmentation of jobs on borrowed accelerators.
     :param failure_rules: thresholds at which failures count against a worker or a job.
+    :param order: order of the jobs with an objective; by lost value by default.
     """
 
-    def __init__(self, rules: OrderRules | None = None, failure_rules: FailureRules | None = None):
+    def __init__(
+        self,
+        rules: OrderRules | None = None,
+        failure_rules: FailureRules | None = None,
+        order: WaitingOrder | None = None,
+    ):
         self._state = SchedulerState(rules or OrderRules(), failure_rules or FailureRules())
         self._claims = ClaimPlanner(self._state)
-        self._quotas = QuotaPlanner(self._state)
-        self._borrowing = BorrowPlanner(self._state)
+        self._queue_order = queue_order = QueueOrder(self._state, order)
+        self._quotas = QuotaPlanner(self._state, queue_order)
+        self._borrowing = BorrowPlanner(self._state, queue_order)
         self._defragmenter = Defragmenter(self._state)
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -96,6 +105,7 @@
         :param now: current time, in seconds.
         """
         state = self._state
+        state.team_use.update(state.held_accelerators, now)
         self._start_probes(now)
         self._claims.start_pending(now)
         self._claims.place(now)
@@ -142,6 +152,11 @@
         """The workers that are about to leave; their gangs keep running."""
         return frozenset(self._state.leaving)
 
+    @property
+    def largest_team_use(self) -> float:
+        """The largest use of a team against its share; 1.0 for a team that uses its share."""
+        return self._queue_order.largest_team_use()
+
     def queued_jobs(self) -> list[tuple[str, Job]]:
         """Return the queued jobs with their ids."""
         return [(job_id, record.job) for job_id, record in self._state.queue.items()]
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -6,6 +6,7 @@
 
 from lacewingmill.load.forecast import RunForecast, forecast_from_remaining
 from lacewingmill.load.speeds import WorkerSpeeds
+from lacewingmill.load.team_use import TeamUse
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, WorkerState
 from lacewingmill.scheduling.guarantees import Slot, SlotTable
@@ -49,6 +50,7 @@
         self.pending_claims: dict[str, JobRecord] = {}
         self.run_times = RunTimeEstimator()
         self.speeds = WorkerSpeeds()
+        self.team_use = TeamUse()
         self.failures = FailureTracker(failure_rules)
         self.configured_shapes: tuple[Shape, ...] = ()
         self.packing = PackingScorer(self.cluster, ())
