Value order: slack of hours stays above nothing to lose

Cause: the weight of a loss that is thousands of run times ahead underflows to 0, so that such a job counted as too late. Change: the distance is capped. Measured: the new test, which needs the cap.

--- a/src/lacewingmill/scheduling/value_order.py
+++ b/src/lacewingmill/scheduling/value_order.py
@@ -26,6 +26,8 @@
 # this many run times ahead can be averted by later chances.
 SLACK_RUN_TIMES = 3.0
 MIN_SLACK_SCALE_S = 1.0
+# Keeps a loss that is far ahead above that of a job that has nothing to lose any more.
+MAX_SCALES_AHEAD = 100.0
 # Caps the preference for jobs that are nearly done.
 MIN_REMAINING_SHARE = 0.125
 
@@ -76,13 +78,18 @@
     objective = step.objective
     if end > objective.last_at:
         return 0.0
-    loss = LATE_VALUE * math.exp((end - objective.last_at) / slack_scale_s)
+    loss = LATE_VALUE * _nearness((objective.last_at - end) / slack_scale_s)
     if end <= objective.due_at:
-        loss += (1.0 - LATE_VALUE) * math.exp((end - objective.due_at) / slack_scale_s)
+        loss += (1.0 - LATE_VALUE) * _nearness((objective.due_at - end) / slack_scale_s)
     weight = RANK_FACTOR**-objective.rank
     return weight * loss / max(step.waiting_share, MIN_REMAINING_SHARE)
 
 
+def _nearness(scales_ahead: float) -> float:
+    """Return how much a loss counts; never 0, however far ahead it is."""
+    return math.exp(-min(scales_ahead, MAX_SCALES_AHEAD))
+
+
 class ValueOrder:
     """Orders steps by the value that waiting loses, then by what their teams use."""
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -134,6 +134,14 @@
     assert cell.started_units("last moment") == 8
 
 
+def test_a_job_with_hours_of_slack_goes_before_one_that_is_too_late_under_overload():
+    cell = BusyCell(workers=1)
+    cell.submit("too late", units=8, due_s=1, last_s=3, rank=0)
+    cell.submit("hours", units=8, due_s=50_000, last_s=150_000, rank=2)
+    cell.plan()
+    assert cell.started_units("hours") == 8
+
+
 @pytest.mark.parametrize("due_s", [7, 30])
 def test_a_higher_rank_goes_first_under_overload(due_s):
     cell = BusyCell(workers=1)
