--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -200,3 +200,18 @@
         queue = "patient" if number % 2 else "ordinary"
         assert run(fleet, fleet.state, fleet.owner, queue, job_id(number)) == "completed"
     fleet.check_invariants()
+
+
+def test_a_wide_gang_that_is_too_late_holds_no_room_under_overload():
+    """The reservation passes from the older gang to the one that can still be of use."""
+    cell = BusyCell(workers=4)
+    for second in range(20):
+        cell.submit(f"small-{second}", team="a", units=12, run_s=4.0, due_s=8, last_s=24)
+        if second == 2:
+            cell.submit("hopeless", team="b", size=8, members=4, run_s=9.0, due_s=4, last_s=12)
+            cell.submit("useful", team="b", size=8, members=2, run_s=4.0, due_s=8, last_s=20)
+            submitted_at = cell.now
+        cell.advance(1.0)
+    assert cell.started["useful/0"] + 4.0 <= submitted_at + 20.0
+    assert "hopeless/0" in cell.deferred
+    assert "hopeless/0" not in cell.started
