--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -88,6 +88,7 @@
         "info",
         "A unit is stopped for another one; gives why and the lost work.",
     )
+    UNIT_TOO_LATE = (429, "info", "A waiting unit would end too late; others go before it.")
     UNIT_PARKED = (423, "warning", "No set of workers can hold a unit; it is retried later.")
     ADVICE_MISSING = (
         427,
--- a/src/lacewingmill/scheduling/records.py
+++ b/src/lacewingmill/scheduling/records.py
@@ -45,6 +45,7 @@
     :param done_s: run time preserved by checkpoints, in seconds.
     :param started_at: start time of the current run, in seconds.
     :param cancelled: whether the job was cancelled while its gang was being evicted.
+    :param deferred: whether the job waits behind others because it is expected to end too late.
     :param blocked_by: what the job waits for; empty when unknown.
     :param evictions: how often the job was evicted for another one.
     :param evicts_at: last moment for the stops that a pending claim has deferred, in seconds; 0
@@ -60,6 +61,7 @@
     done_s: float = 0.0
     started_at: float = 0.0
     cancelled: bool = False
+    deferred: bool = False
     blocked_by: str = ""
     evictions: int = 0
     evicts_at: float = 0.0
