Inbox: read all jobs and cancellations when a watch gets no answer

Cause: the owner heard of stored cancellations by watches only.

Change: a poll whose watch fails reads the prefix, as after lost history.

--- a/src/lacewingmill/jobs/inbox.py
+++ b/src/lacewingmill/jobs/inbox.py
@@ -119,15 +119,19 @@
         while truncated:
             try:
                 changes = self._store.watch(INBOX_PREFIX, after=self._revision, wait_s=0.0)
-            except HistoryLost:
-                records, self._revision = self._store.scan(INBOX_PREFIX)
-                truncated = False
+            except (HistoryLost, StoreUnavailable):
+                # The store may leave watches unanswered while it answers everything else.
+                records, truncated = self._scan(), False
             else:
                 self._revision = changes.revision
                 records = tuple(c.record for c in changes.changes if c.record is not None)
                 truncated = changes.truncated
             self._apply_records(records)
 
+    def _scan(self) -> tuple[Record, ...]:
+        records, self._revision = self._store.scan(INBOX_PREFIX)
+        return records
+
     def _apply_records(self, records: tuple[Record, ...]) -> None:
         for record in records:
             if record.key.startswith(JOB_PREFIX):
--- a/tests/test_many_registrations.py
+++ b/tests/test_many_registrations.py
@@ -38,3 +38,11 @@
     fleet.kv.write(cancel_key(job_id(1)), b"1")
     fleet.clock.advance(1.5)
     assert run(fleet, fleet.state, "vm0", "patient", job_id(1)) == "cancelled"
+
+
+def test_a_stored_cancellation_takes_effect_while_the_store_answers_no_watch(fleet):
+    assert run(fleet, fleet.submit, "vm0", "patient", job_id(1), [step()], "run_s=30") == 200
+    fleet.kv.faults.deaf = True
+    fleet.kv.write(cancel_key(job_id(1)), b"1")
+    fleet.clock.advance(3.0)
+    assert run(fleet, fleet.state, "vm0", "patient", job_id(1)) == "cancelled"
