Emulation: tell the VMs the longest time of its stops

Cause: the emulated executors stop a run within 0.4 s, but the limits given to the VMs held the default of 1.0 s, so urgent units beyond their quota counted as late and evicted nothing; test_a_worker_that_answers_late_gets_no_work_beside_its_runs failed. Change: longest_stop_s=0.4 in the emulation's limits.

--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -16,7 +16,9 @@
 STORE = "10.9.0.1:1"
 ADVISOR = "10.9.0.2:1"
 MACHINES = "10.9.0.3:1"
-LIMITS = PlatformLimits(grace_s=6.0, longest_hold_s=6.0, kept_s=120.0, config_in_force_s=2.0)
+LIMITS = PlatformLimits(
+    grace_s=6.0, longest_hold_s=6.0, kept_s=120.0, config_in_force_s=2.0, longest_stop_s=0.4
+)
 
 
 class PlatformFleet:
