Learn worker speeds and run times from progress; place and move by them

Cause: a third of the workers is 1.3 times slower for good, others are four to eight times slower for seconds, and declared run times are off by up to seven times, but nothing read the progress that workers report.

Forecasts and remaining times follow measured rates, run times are learned while jobs run. Urgent work and work without slack keeps off slow workers, and late gangs move to free sound ones. Log events 428, 436 and 437, a counter of moves, a gauge of slow workers.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -90,6 +90,7 @@
         "warning",
         "The advice service did not answer which workers may run a unit.",
     )
+    UNIT_MOVED = (428, "info", "A unit is stopped on a slow worker and goes on elsewhere.")
     RUN_ENDED = (424, "info", "A worker reported the end of a run.")
     ORDER_UNANSWERED = (
         426,
@@ -111,6 +112,8 @@
         "warning",
         "A worker has started again with another size, rack or other labels.",
     )
+    WORKER_SLOW = (436, "warning", "Work takes far longer on a worker than on others, or stands.")
+    WORKER_SOUND = (437, "info", "A worker that was slow is no longer known to be.")
     GUARANTEE_SHORTFALL = (340, "error", "A guaranteed shape cannot be reclaimed now.")
 
     def __init__(self, number: int, level: str, meaning: str):
--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -169,6 +169,11 @@
         "Units that hold workers, at the VM that directs",
         director_gauge(lambda director: director.running),
     )
+    metrics.add_gauge(
+        "lacewingmill_slow_workers",
+        "Workers that are slower than usual, at the VM that directs",
+        director_gauge(lambda director: director.slow_workers),
+    )
     metrics.add_gauge(
         "lacewingmill_configuration_version",
         "Version of the configuration in force at this VM",
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -28,8 +28,10 @@
     WorkerEntry,
     WorkerOrders,
 )
+from lacewingmill.jobs.progress_reports import progress_reports
 from lacewingmill.jobs.settings import PlatformLimits
 from lacewingmill.jobs.silent_workers import SilentWorkers
+from lacewingmill.jobs.slow_workers import SlowWorkerLog
 from lacewingmill.jobs.store_writer import StoreWriter
 from lacewingmill.jobs.takeover import Takeover
 from lacewingmill.jobs.unit_planner import UnitPlanner
@@ -47,6 +49,7 @@
     StartGang,
     StopGang,
 )
+from lacewingmill.scheduling.moves import FASTER_WORKER
 from lacewingmill.tasks import contain_errors, error_location, spawn_with_callback
 
 __all__ = ["Director", "DirectorDependencies"]
@@ -130,6 +133,7 @@
             self._advice, self.pool, self._planner, self.registry, log, self._add_deferred
         )
         self._silent = SilentWorkers(deps.machines, self.pool.answering, clock, log)
+        self._slow_workers = SlowWorkerLog(log)
         self._runner = UnitRunner(
             owner_lease,
             clock,
@@ -153,6 +157,11 @@
         """Number of units that wait for workers."""
         return self._planner.backlog + len(self._deferred)
 
+    @property
+    def slow_workers(self) -> int:
+        """Number of workers that are slower than usual."""
+        return len(self._planner.slow_workers())
+
     @property
     def running(self) -> int:
         """Number of units that occupy workers."""
@@ -241,12 +250,22 @@
         :return: events that are set once the effects of the listed ends are stored; the ends may
             be acknowledged to the worker only then.
         """
+        if self.recovered:
+            self._feed_progress(link, report)
         for listed in report.running:
             with contain_errors(self._log, worker=link.worker, task=str(listed.task)):
                 self._handle_running(link, listed)
         writes = [self._handle_end(link, ended) for ended in report.ended]
         return [written for written in writes if written is not None]
 
+    def _feed_progress(self, link: WorkerLink, report: HoldReport) -> None:
+        now = self._clock.now()
+        with contain_errors(self._log, worker=link.worker):
+            for service, event in progress_reports(
+                link.worker, report.running, self._runner.find, now
+            ):
+                self._planner.feed_progress(service, event)
+
     def on_member_gone(self, link: WorkerLink, member: Member) -> None:
         """Handle a member that certainly no longer runs, though the worker listed no end of it."""
         self._runner.on_member_gone(link, member)
@@ -395,6 +414,7 @@
                         self._queue_ready_units(graph)
             self._repeat_failed_actions()
             self.pool.sweep()
+            self._slow_workers.update(self._planner.slow_workers())
             if self._clock.now() - retried_at > DEFERRED_RETRY_S:
                 retried_at = self._clock.now()
                 self._retry_deferred()
@@ -438,6 +458,9 @@
 
     @_execute.register
     def _(self, action: EvictGang) -> None:
+        if action.for_job == FASTER_WORKER:
+            self._deps.meters.count(Meter.MOVES)
+            self._log.emit(LogEvent.UNIT_MOVED, unit=action.job_id)
         self._runner.evict(action.job_id, action.for_job)
 
     @_execute.register
--- a/src/lacewingmill/jobs/unit_planner.py
+++ b/src/lacewingmill/jobs/unit_planner.py
@@ -18,6 +18,7 @@
     JobSubmitted,
     NeedsChanged,
     Placement,
+    ProgressReported,
     RunningGang,
 )
 from lacewingmill.scheduling.messages import Member as Allocation
@@ -69,6 +70,19 @@
         self._events.append((service, event))
         self.wake.set()
 
+    def feed_progress(self, service: str, event: ProgressReported) -> None:
+        """Queue a report for the next planning round, which it does not bring forward."""
+        self._scheduler(service)
+        self._events.append((service, event))
+
+    def slow_workers(self) -> dict[str, float]:
+        """Return the workers that are slower than usual, with the factors."""
+        now = self._clock.now()
+        slow: dict[str, float] = {}
+        for scheduler in self._schedulers.values():
+            slow.update(scheduler.slow_workers(now))
+        return slow
+
     def feed_all(self, event: Event) -> None:
         """Queue an event for all services, when it is no longer known which one it belongs to."""
         for service in self._schedulers:
--- a/src/lacewingmill/ports.py
+++ b/src/lacewingmill/ports.py
@@ -35,6 +35,7 @@
     RUNS = ("lacewingmill_runs", "Runs of tasks by their end")
     ORDERS = ("lacewingmill_orders", "Starts ordered by what the worker made of them")
     EVICTIONS = ("lacewingmill_evictions", "Units that gave their workers back to others")
+    MOVES = ("lacewingmill_moves", "Units stopped on a slow worker to go on elsewhere")
     STORED = ("lacewingmill_stored_seconds", "From a hand-in to its being stored")
     FIRST_START = ("lacewingmill_first_start_seconds", "From acceptance to the first start ordered")
     SHOWN = ("lacewingmill_shown_seconds", "From the end of a job to its being stored and shown")
--- a/src/lacewingmill/scheduling/borrowing.py
+++ b/src/lacewingmill/scheduling/borrowing.py
@@ -104,7 +104,7 @@
             return min(free, limit(job.shape))
 
         return PlacementRules(
-            units, self._state.placement_cost(job), by_cost=job.objective is not None
+            units, self._state.placement_cost(job, now), by_cost=job.objective is not None
         )
 
     def _keeps_headroom(self, job: Job, expected_s: float, now: float) -> bool:
--- a/src/lacewingmill/scheduling/claims.py
+++ b/src/lacewingmill/scheduling/claims.py
@@ -95,4 +95,4 @@
                 return 0
             return min(worker_state.free_units(shape), worker_state.claimable_units(shape))
 
-        return PlacementRules(units, self._state.placement_cost(record.job))
+        return PlacementRules(units, self._state.placement_cost(record.job, now))
--- /dev/null
+++ b/src/lacewingmill/scheduling/progress_learner.py
@@ -0,0 +1,107 @@
+"""Learns run times and the speeds of workers from the progress of running gangs."""
+
+from lacewingmill.load.progress import RateSample
+from lacewingmill.scheduling.messages import ProgressReported
+from lacewingmill.scheduling.records import JobRecord, JobState
+from lacewingmill.scheduling.state import SchedulerState
+
+__all__ = ["ProgressLearner"]
+
+# Rates are reported in whole percents; below this gain, a run time computed from them is vague.
+MIN_LEARNED_GAIN = 0.08
+# Weights of comparisons: with equal runs elsewhere, with the run's own earlier rate, and with the
+# learned run time, which says little about a single job.
+SIBLINGS_WEIGHT = 1.0
+EARLIER_RATE_WEIGHT = 0.7
+LEARNED_TIME_WEIGHT = 0.05
+DROP_RATES_S = 1.0
+
+
+class ProgressLearner:
+    """Updates the pictures of the load that a scheduler's state holds."""
+
+    def __init__(self, state: SchedulerState):
+        self._state = state
+        self._rates_dropped_at = 0.0
+
+    def begin(self, record: JobRecord, now: float) -> None:
+        """Follow a gang that has begun to run."""
+        if not record.job.lasting:
+            self._state.progress.begin(record.job.job_id, now, fresh=record.runs == 1)
+
+    def report(self, record: JobRecord, event: ProgressReported) -> None:
+        """Learn from what a worker reports about its part of a running gang."""
+        if record.state is not JobState.RUNNING or not self._comparable(record, event.worker):
+            return
+        state, job, worker, at = self._state, record.job, event.worker, event.at
+        self._drop_old_rates(at)
+        group = job.needs.group or job.job_id
+        siblings_rate = state.progress.sibling_rate(group, worker, at)
+        learned_rate = 1.0 / state.expected_s(job)
+        sample = state.progress.report(
+            job.job_id,
+            worker,
+            event.done_share,
+            at,
+            siblings_rate or learned_rate,
+            compared=siblings_rate > 0,
+        )
+        if sample is None:
+            return
+        state.progress.record_rate(group, job.job_id, worker, sample.rate, at)
+        if siblings_rate:
+            usual_rate, weight = siblings_rate, SIBLINGS_WEIGHT
+        elif sample.best_before:
+            usual_rate, weight = sample.best_before, EARLIER_RATE_WEIGHT
+        else:
+            usual_rate, weight = learned_rate, LEARNED_TIME_WEIGHT if sample.first else 0.0
+        if weight:
+            state.speeds.learn(
+                worker, usual_rate, sample.rate, weight, at, first=sample.first_compared
+            )
+        self._learn_run_time(record, worker, sample, at)
+
+    def finish(self, record: JobRecord, run_s: float) -> None:
+        """Learn the run time of a job that has finished, unless its progress told it.
+
+        :param run_s: in seconds.
+        """
+        if not record.run_time_learned:
+            self._learn(record, run_s)
+
+    def saved_s(self, record: JobRecord, ran_s: float) -> float:
+        """Return the run time that a stopped gang need not repeat, in seconds.
+
+        :param ran_s: time that the gang ran until it saved its checkpoint; 0 if it saved none.
+        """
+        done_share = self._state.progress.done_share(record.job.job_id)
+        if not ran_s or done_share is None:
+            return record.done_s + ran_s
+        return done_share * self._state.expected_s(record.job)
+
+    def _learn_run_time(
+        self, record: JobRecord, worker: str, sample: RateSample, now: float
+    ) -> None:
+        if record.run_time_learned or sample.gain < MIN_LEARNED_GAIN:
+            return
+        record.run_time_learned = True
+        self._learn(record, 1.0 / (sample.mean_rate * self._state.speeds.slowdown(worker, now)))
+
+    def _learn(self, record: JobRecord, run_s: float) -> None:
+        job = record.job
+        self._state.run_times.learn(job.service, job.shape.name, job.shape.expected_s, run_s)
+
+    def _comparable(self, record: JobRecord, worker: str) -> bool:
+        """Whether progress depends on the worker's speed, and not on where the job's data is.
+
+        Jobs without processors of their own progress by what others leave idle.
+        """
+        worker_state = self._state.cluster.workers.get(worker)
+        if worker_state is None or record.job.lasting or not record.job.shape.processors:
+            return False
+        return record.job.needs.rack in ("", worker_state.info.rack)
+
+    def _drop_old_rates(self, now: float) -> None:
+        if now - self._rates_dropped_at >= DROP_RATES_S:
+            self._rates_dropped_at = now
+            self._state.progress.drop_old_rates(now)
--- a/src/lacewingmill/scheduling/quotas.py
+++ b/src/lacewingmill/scheduling/quotas.py
@@ -150,7 +150,7 @@
                 self._allowed_units(record, worker_state, avoided, now),
             )
 
-        return PlacementRules(units, self._state.placement_cost(record.job), by_cost=True)
+        return PlacementRules(units, self._state.placement_cost(record.job, now), by_cost=True)
 
     def _allowed_units(
         self, record: JobRecord, worker_state: WorkerState, avoided: frozenset[str], now: float
--- a/src/lacewingmill/scheduling/records.py
+++ b/src/lacewingmill/scheduling/records.py
@@ -44,6 +44,8 @@
     :param protected: whether the job may not be evicted.
     :param done_s: run time preserved by checkpoints, in seconds.
     :param started_at: start time of the current run, in seconds.
+    :param runs: number of times that this scheduler has started it.
+    :param run_time_learned: whether its run time has been learned from its progress.
     :param cancelled: whether the job was cancelled while its gang was being evicted.
     :param blocked_by: what the job waits for; empty when unknown.
     """
@@ -56,6 +58,8 @@
     protected: bool = False
     done_s: float = 0.0
     started_at: float = 0.0
+    runs: int = 0
+    run_time_learned: bool = False
     cancelled: bool = False
     blocked_by: str = ""
     notes: list[Note] = attrs.field(factory=list)
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 import attrs
 
 from lacewingmill.models import Shape
+from lacewingmill.scheduling.adoption import adopt_gang
 from lacewingmill.scheduling.borrowing import BorrowPlanner
 from lacewingmill.scheduling.claims import ClaimPlanner
 from lacewingmill.scheduling.cluster import Cluster
@@ -43,8 +44,10 @@
     WorkerSilent,
     block_name,
 )
+from lacewingmill.scheduling.moves import MovePlanner
 from lacewingmill.scheduling.order import OrderRules
 from lacewingmill.scheduling.placement import PackingScorer
+from lacewingmill.scheduling.progress_learner import ProgressLearner
 from lacewingmill.scheduling.quotas import QuotaPlanner
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.state import HELD_STATES, SchedulerState
@@ -66,6 +69,8 @@
         self._quotas = QuotaPlanner(self._state)
         self._borrowing = BorrowPlanner(self._state)
         self._defragmenter = Defragmenter(self._state)
+        self._learner = ProgressLearner(self._state)
+        self._moves = MovePlanner(self._state)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Handle an event and return the actions to take.
@@ -103,6 +108,7 @@
         self._borrowing.place(now)
         if state.rules.defragment:
             self._defragmenter.defragment(now)
+        self._moves.plan(now)
         actions, state.actions = state.actions, []
         return actions
 
@@ -142,6 +148,14 @@
         """The workers that are about to leave; their gangs keep running."""
         return frozenset(self._state.leaving)
 
+    def slow_workers(self, now: float) -> dict[str, float]:
+        """Return the workers that are slower than usual, with the factors.
+
+        :param now: current time, in seconds.
+        """
+        slow = self._state.speeds.slow_workers(now)
+        return {worker: factor for worker, factor in slow.items() if worker in self.cluster.workers}
+
     def queued_jobs(self) -> list[tuple[str, Job]]:
         """Return the queued jobs with their ids."""
         return [(job_id, record.job) for job_id, record in self._state.queue.items()]
@@ -165,7 +179,9 @@
 
     @_apply.register
     def _(self, event: ProgressReported, now: float) -> None:
-        pass
+        record = self._state.records.get(event.job_id)
+        if record is not None:
+            self._learner.report(record, event)
 
     @_apply.register
     def _(self, event: JobSubmitted, now: float) -> None:
@@ -208,6 +224,7 @@
             return
         record.state = JobState.RUNNING
         record.started_at = now
+        self._learner.begin(record, now)
         record.note(now, "all members are running")
 
     @_apply.register
@@ -226,7 +243,7 @@
         record = self._state.records.get(event.job_id)
         if record is None or record.state is not JobState.EVICTING:
             return
-        record.done_s += event.saved_s
+        record.done_s = self._learner.saved_s(record, event.saved_s)
         self._state.moving.discard(event.job_id)
         if record.cancelled:
             self._state.end(record)
@@ -238,9 +255,8 @@
         record = self._state.records.get(event.job_id)
         if record is None:
             return
-        job = record.job
-        self._state.run_times.learn(job.service, job.shape.name, job.shape.expected_s, event.run_s)
-        self._state.failures.record_success(job.job_id, record.workers)
+        self._learner.finish(record, event.run_s)
+        self._state.failures.record_success(event.job_id, record.workers)
         self._state.end(record)
 
     @_apply.register
@@ -274,6 +290,7 @@
             self._state.cluster.forget(event.worker)
         if worker_state is None:
             return
+        self._state.speeds.forget(event.worker)
         self._state.requeue_claims_on(event.worker, now)
         for job_id in list(worker_state.gangs):
             self._handle_lost_worker(self._state.records[job_id], event.worker, now)
@@ -328,21 +345,8 @@
 
     @_apply.register
     def _(self, event: GangRecovered, now: float) -> None:
-        gang = event.gang
-        record = JobRecord(gang.job, JobState.RUNNING, placement=gang.placement)
-        record.started_at = gang.started_at
-        record.done_s = gang.done_s
-        self._state.records[gang.job.job_id] = record
-        self._state.cluster.adopt(gang.job.job_id, gang.job.shape, gang.placement)
-        self._state.count_held(gang.job, 1)
-        slot = self._state.slot_table.unclaimed_slot(gang.job.slot_key) if gang.guaranteed else None
-        if slot is not None:
-            self._state.slot_table.unreserve(slot)
-            slot.holder = gang.job.job_id
-            record.slot = slot
-        if slot is not None or not gang.job.evictable or (gang.guaranteed and gang.job.urgent):
-            record.protected = True
-            self._state.slot_table.count_protected(gang.job.shape, record.held_block, 1)
+        record = adopt_gang(self._state, event.gang)
+        self._learner.begin(record, now)
         record.note(now, "recovered by a new owner while running")
 
     def _refusal_reason(self, job: Job) -> str:
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -1,10 +1,12 @@
 """The state that the planners of a scheduler share, and the operations on it."""
 
+import math
 from collections.abc import Callable
 
 import attrs
 
-from lacewingmill.load.forecast import RunForecast, forecast_from_remaining
+from lacewingmill.load.forecast import RunForecast, forecast_from_progress, forecast_from_remaining
+from lacewingmill.load.progress import ProgressTracker
 from lacewingmill.load.speeds import WorkerSpeeds
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.cluster import Block, Cluster, WorkerState
@@ -15,6 +17,7 @@
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.reservation import BackfillReservation, holds_when_empty
 from lacewingmill.scheduling.run_times import RunTimeEstimator
+from lacewingmill.scheduling.speed_rules import slowness_cost, waits_for_sound_worker
 from lacewingmill.scheduling.suspects import FailureRules, FailureTracker
 
 __all__ = ["HELD_STATES", "SchedulerState"]
@@ -30,6 +33,7 @@
 # pays off for a job of ten seconds. On a mostly idle cluster, waiting does not make a rack emptier.
 RACK_WAIT_S = 10.0
 RACK_WAIT_IDLE_S = 2.0
+MIN_REMAINING_S = 0.001
 HELD_STATES = (JobState.STARTING, JobState.RUNNING, JobState.EVICTING)
 
 
@@ -49,6 +53,8 @@
         self.pending_claims: dict[str, JobRecord] = {}
         self.run_times = RunTimeEstimator()
         self.speeds = WorkerSpeeds()
+        self.progress = ProgressTracker()
+        self._avoided: dict[str, tuple[frozenset[str], float]] = {}
         self.failures = FailureTracker(failure_rules)
         self.configured_shapes: tuple[Shape, ...] = ()
         self.packing = PackingScorer(self.cluster, ())
@@ -73,6 +79,7 @@
         record.placement = self.cluster.allocate(job.job_id, job.shape, block)
         record.state = JobState.STARTING
         record.started_at = now
+        record.runs += 1
         record.blocked_by = ""
         self.count_held(job, 1)
         kind = "its guarantee" if record.slot is not None else "borrowed accelerators"
@@ -100,11 +107,13 @@
         self.release(record)
         self.queue.pop(record.job.job_id, None)
         self.moving.discard(record.job.job_id)
+        self._avoided.pop(record.job.job_id, None)
         del self.records[record.job.job_id]
 
     def release(self, record: JobRecord) -> None:
         """Release what a job holds; the block of a claimed slot is reserved for the slot again."""
         job = record.job
+        self.progress.forget(job.job_id)
         block = record.block or record.held_block
         if record.block:
             self.count_pending(job.shape, record.block, -1)
@@ -213,15 +222,26 @@
 
     def remaining_s(self, record: JobRecord, now: float) -> float:
         """Return the expected remaining run time of a running job, in seconds."""
+        measured_s = self.progress.remaining_s(record.job.job_id, now)
+        if measured_s is not None and math.isfinite(measured_s):
+            return max(measured_s, MIN_REMAINING_S)
+        return self._remaining_by_estimate_s(record, now)
+
+    def _remaining_by_estimate_s(self, record: JobRecord, now: float) -> float:
         job = record.job
+        slow = self.speeds.slow_workers(now)
+        slowdown = max((slow.get(worker, 1.0) for worker in record.workers), default=1.0)
         elapsed = now - record.started_at + record.done_s
-        return self.run_times.estimate_remaining(
-            job.service, job.shape.name, job.shape.expected_s, elapsed
+        return slowdown * self.run_times.estimate_remaining(
+            job.service, job.shape.name, job.shape.expected_s, elapsed / slowdown
         )
 
     def forecast(self, record: JobRecord, now: float) -> RunForecast:
         """Return when a running job is expected to end."""
-        return forecast_from_remaining(self.remaining_s(record, now), now)
+        measured_s = self.progress.remaining_s(record.job.job_id, now)
+        if measured_s is not None and math.isfinite(measured_s):
+            return forecast_from_progress(max(measured_s, MIN_REMAINING_S), now)
+        return forecast_from_remaining(self._remaining_by_estimate_s(record, now), now)
 
     def is_starving(self, record: JobRecord, now: float) -> bool:
         """Return whether a wide gang has waited so long that it should get a reservation."""
@@ -250,9 +270,11 @@
         able to hold it, and the cluster must be so busy that they may not have been free yet.
         """
         rules = self.failures.rules
+        slow = self._slow_workers_left(job.job_id, now)
         avoided = self.failures.failed_on(job.job_id, now - rules.window_s)
         if not avoided:
-            return avoided
+            return slow
+        avoided |= slow
 
         def units(worker_state: WorkerState) -> int:
             if worker_state.info.worker in avoided:
@@ -265,16 +287,26 @@
             for shape in self.candidate_shapes(job, now)
         ):
             return avoided
-        return self.failures.failed_on(job.job_id, now - rules.return_s)
+        return self.failures.failed_on(job.job_id, now - rules.return_s) | slow
+
+    def avoid(self, job_id: str, workers: frozenset[str], until: float) -> None:
+        """Keep a job off workers until a time, in seconds."""
+        self._avoided[job_id] = (workers, until)
 
-    def placement_cost(self, job: Job) -> Callable[[WorkerState, int], float]:
+    def _slow_workers_left(self, job_id: str, now: float) -> frozenset[str]:
+        workers, until = self._avoided.get(job_id, (frozenset(), 0.0))
+        return workers if now < until else frozenset()
+
+    def placement_cost(self, job: Job, now: float) -> Callable[[WorkerState, int], float]:
         """Return the cost function of a job's placements.
 
         The cost adds up the accelerators that become unusable for gangs, those taken from reserved
-        blocks and those left over on the worker, and penalties for workers that have failed jobs
-        and for workers on other racks than the job's data.
+        blocks and those left over on the worker, and penalties for workers that have failed jobs,
+        for slow workers and for workers on other racks than the job's data.
         """
         size = job.shape.unit_accelerators
+        slow = self.speeds.slow_workers(now)
+        expected_s = self.expected_s(job) if slow else 0.0
 
         def worker_cost(worker_state: WorkerState, units: int) -> float:
             taken = units * size
@@ -286,6 +318,9 @@
                 cost += SUSPECT_COST
             if job.needs.rack and job.needs.rack != worker_state.info.rack:
                 cost += REMOTE_RACK_COST
+            slowdown = slow.get(worker_state.info.worker)
+            if slowdown is not None:
+                cost += slowness_cost(job, expected_s, slowdown, now)
             return cost
 
         return worker_cost
@@ -305,6 +340,9 @@
     def allowed_units(self, job: Job, worker_state: WorkerState, now: float) -> int:
         """Return how many members of a job a worker may take under the job's constraints."""
         needs = job.needs
+        slowdown = self.speeds.slow_workers(now).get(worker_state.info.worker)
+        if slowdown is not None and waits_for_sound_worker(job, slowdown, now):
+            return 0
         if needs.only is not None and worker_state.info.worker not in needs.only:
             return 0
         if needs.label and needs.label not in worker_state.info.labels:
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -34,6 +34,7 @@
     :param run_s: time that the whole work takes, in seconds.
     :param fails: whether the run fails at its end.
     :param restored_s: work restored from a checkpoint, in seconds.
+    :param slowdown: factor by which the work takes longer since ``work_started_at``.
     :param work_started_at: time at which the work began, in seconds; ``None`` while a gang is
         incomplete.
     :param outcome: how the run ended: ``done``, ``failed``, ``stopped``, ``lapsed`` (the executor's
@@ -52,6 +53,7 @@
     fails: bool
     checkpointing: bool
     restored_s: float = 0.0
+    slowdown: float = 1.0
     work_started_at: float | None = None
     ended_at: float | None = None
     outcome: str = ""
@@ -59,6 +61,11 @@
     stops_at: float | None = None
     acknowledged: bool = False
 
+    @property
+    def work_ends_at(self) -> float:
+        """Time at which the work ends, once it has begun, in seconds."""
+        return self.work_started_at + (self.run_s - self.restored_s) * self.slowdown
+
 
 @attrs.define
 class SubmittedJob:
@@ -192,6 +199,14 @@
         """Return the monotonic clock of the executor, in milliseconds."""
         return int((self._clock.now() - self._started_at) * 1000)
 
+    def slow_down(self, factor: float) -> None:
+        """Let the work that now runs here take longer from now on by a factor."""
+        for run in self._running.values():
+            run.restored_s = self._work_done_s(run)
+            run.work_started_at = self._clock.now()
+            run.slowdown = factor
+        self._wake()
+
     def crash(self) -> None:
         """Crash and restart under the same id, as a new incarnation without state."""
         self.advance()
@@ -334,7 +349,7 @@
     def _work_done_s(self, run: Run) -> float:
         if run.work_started_at is None:
             return run.restored_s
-        return run.restored_s + max(0.0, self._clock.now() - run.work_started_at)
+        return run.restored_s + max(0.0, self._clock.now() - run.work_started_at) / run.slowdown
 
     def _fails_at(self, run: Run) -> float:
         """Return when the executor fails a run of its own accord; infinite if it doesn't."""
@@ -348,7 +363,7 @@
             if run.stops_at is not None:
                 times.append(run.stops_at)
             if run.work_started_at is not None:
-                times.append(run.work_started_at + run.run_s - run.restored_s)
+                times.append(run.work_ends_at)
             times.append(self._fails_at(run))
         return max(min(times), self._clock.now() + 0.005)
 
@@ -362,7 +377,7 @@
             self._save_checkpoint(run)
             done_at = None
             if run.work_started_at is not None:
-                done_at = run.work_started_at + run.run_s - run.restored_s
+                done_at = run.work_ends_at
             fails_at = self._fails_at(run)
             if fails_at <= min(now, lapse_at):
                 self._end(run, "failed", fails_at)
