Do not take a run that an earlier owner left a checkpoint of for one from zero

Cause: the first report of a run was compared with its start, also when a new owner resumed it from a checkpoint that it had not seen written; its rate then seemed too high and later ones too low.

Change: Job.resumed tells whether the job graph holds a checkpoint.

--- a/src/lacewingmill/jobs/scheduler_inputs.py
+++ b/src/lacewingmill/jobs/scheduler_inputs.py
@@ -118,6 +118,7 @@
             submitted_at + HARD_DEADLINE_FACTOR * due_after_s,
         ),
         lasting=step.lasting,
+        resumed=bool(graph.checkpoints.get(unit.task(unit.indexes[0]))),
     )
 
 
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -173,6 +173,7 @@
     :param objective: its priority and deadlines; jobs without one are ordered by their expected
         run times.
     :param lasting: whether it runs until it is cancelled, whatever its shape's run time says.
+    :param resumed: whether an earlier run, which this scheduler may not know, left a checkpoint.
     """
 
     job_id: str
@@ -187,6 +188,7 @@
     needs: Needs = Needs()
     objective: Objective | None = None
     lasting: bool = False
+    resumed: bool = False
 
     @property
     def evictable(self) -> bool:
--- a/src/lacewingmill/scheduling/progress_learner.py
+++ b/src/lacewingmill/scheduling/progress_learner.py
@@ -26,8 +26,10 @@
 
     def begin(self, record: JobRecord, now: float) -> None:
         """Follow a gang that has begun to run."""
-        if not record.job.lasting:
-            self._state.progress.begin(record.job.job_id, now, fresh=record.runs == 1)
+        job = record.job
+        if not job.lasting:
+            fresh = record.runs == 1 and not job.resumed
+            self._state.progress.begin(job.job_id, now, fresh=fresh)
 
     def report(self, record: JobRecord, event: ProgressReported) -> None:
         """Learn from what a worker reports about its part of a running gang."""
