Forecasts: the spread of a learned run time is learned too

Cause: a forecast from a learned run time assumed the same spread for a queue whose times are well known and for one that has just been seen.

Change: the estimator keeps the mean square of its errors by service and shape; the quantiles of a forecast follow from it. The prior gives the earlier quantiles.

--- a/src/lacewingmill/load/forecast.py
+++ b/src/lacewingmill/load/forecast.py
@@ -1,12 +1,13 @@
 """Forecasts of the ends of running gangs."""
 
+import math
+
 import attrs
 
 __all__ = ["RunForecast", "forecast_from_progress", "forecast_from_remaining"]
 
-# Run times learned by queue are off by about half in either direction.
-EARLY_SHARE = 0.5
-LATE_FACTOR = 2.0
+# Standard deviations between the median and the 0.9 quantile.
+QUANTILE_DEVIATIONS = 1.28
 # A measured rate only changes with the speed of the worker.
 EARLY_PROGRESS_SHARE = 0.85
 LATE_PROGRESS_FACTOR = 1.3
@@ -26,14 +27,14 @@
     late_at: float
 
 
-def forecast_from_remaining(remaining_s: float, now: float) -> RunForecast:
+def forecast_from_remaining(remaining_s: float, now: float, spread: float) -> RunForecast:
     """Return the forecast for a gang of which only the expected remaining time is known.
 
     :param remaining_s: in seconds.
+    :param spread: standard deviation of the logarithm of run times around their estimate.
     """
-    return RunForecast(
-        now + EARLY_SHARE * remaining_s, now + remaining_s, now + LATE_FACTOR * remaining_s
-    )
+    factor = math.exp(QUANTILE_DEVIATIONS * spread)
+    return RunForecast(now + remaining_s / factor, now + remaining_s, now + remaining_s * factor)
 
 
 def forecast_from_progress(remaining_s: float, now: float) -> RunForecast:
--- a/src/lacewingmill/scheduling/run_times.py
+++ b/src/lacewingmill/scheduling/run_times.py
@@ -16,11 +16,14 @@
 NOISE_VARIANCE = 0.5
 MIN_REMAINING_SHARE = 0.25
 MIN_RUN_TIME_S = 0.001
+# Declared run times are off by a factor of two in either direction in one of five cases.
+PRIOR_SPREAD = 0.54
+SPREAD_WEIGHT = 0.1
 
 
 @attrs.define
 class _LineEstimator:
-    """Recursive least squares estimate of a line.
+    """Recursive least squares estimate of a line, and the mean square of its errors.
 
     The covariance is the symmetric matrix ``[[var_slope, cov], [cov, var_intercept]]``.
     """
@@ -30,6 +33,7 @@
     var_slope: float = PRIOR_VARIANCE
     cov: float = 0.0
     var_intercept: float = PRIOR_VARIANCE
+    residual_square: float = PRIOR_SPREAD**2
 
     def predict(self, declared: float) -> float:
         return self.slope * declared + self.intercept
@@ -39,6 +43,7 @@
         intercept_cov = self.cov * declared + self.var_intercept
         residual_variance = NOISE_VARIANCE + declared * slope_cov + intercept_cov
         error = actual - self.predict(declared)
+        self.residual_square += SPREAD_WEIGHT * (error**2 - self.residual_square)
         gain_slope = slope_cov / residual_variance
         gain_intercept = intercept_cov / residual_variance
         self.slope += gain_slope * error
@@ -61,6 +66,11 @@
             return max(declared_s, MIN_RUN_TIME_S)
         return math.exp(estimator.predict(math.log(max(declared_s, MIN_RUN_TIME_S))))
 
+    def spread(self, service: str, shape: str) -> float:
+        """Return the standard deviation of the logarithm of run times around their estimate."""
+        estimator = self._estimators.get((service, shape))
+        return PRIOR_SPREAD if estimator is None else math.sqrt(estimator.residual_square)
+
     def estimate_remaining(
         self, service: str, shape: str, declared_s: float, elapsed_s: float
     ) -> float:
--- a/src/lacewingmill/scheduling/state.py
+++ b/src/lacewingmill/scheduling/state.py
@@ -241,7 +241,8 @@
         measured_s = self.progress.remaining_s(record.job.job_id, now)
         if measured_s is not None and math.isfinite(measured_s):
             return forecast_from_progress(max(measured_s, MIN_REMAINING_S), now)
-        return forecast_from_remaining(self._remaining_by_estimate_s(record, now), now)
+        spread = self.run_times.spread(record.job.service, record.job.shape.name)
+        return forecast_from_remaining(self._remaining_by_estimate_s(record, now), now, spread)
 
     def is_starving(self, record: JobRecord, now: float) -> bool:
         """Return whether a wide gang has waited so long that it should get a reservation."""
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from lacewingmill.load.forecast import forecast_from_remaining
 from lacewingmill.load.speeds import WorkerSpeeds
 from lacewingmill.models import Adjacency, Shape
 from lacewingmill.scheduling.messages import (
@@ -24,6 +25,7 @@
 )
 from lacewingmill.scheduling.moves import FASTER_WORKER
 from lacewingmill.scheduling.order import OrderRules
+from lacewingmill.scheduling.run_times import RunTimeEstimator
 from lacewingmill.scheduling.scheduler import Scheduler
 
 SERVICE = "svc"
@@ -315,3 +317,14 @@
     before_s = cell.scheduler._state.expected_s(cell.jobs["job"][0])
     cell.play(6.0)
     assert cell.scheduler._state.expected_s(cell.jobs["job"][0]) > 2 * before_s
+
+
+def test_the_spread_of_a_forecast_follows_how_well_run_times_were_estimated():
+    run_times = RunTimeEstimator()
+    before = run_times.spread(SERVICE, "plain")
+    for _ in range(40):
+        run_times.learn(SERVICE, "plain", 5.0, 10.0)
+    assert run_times.spread(SERVICE, "plain") < 0.3 * before
+    sure = forecast_from_remaining(10.0, 0.0, run_times.spread(SERVICE, "plain"))
+    unsure = forecast_from_remaining(10.0, 0.0, before)
+    assert unsure.early_at < sure.early_at < sure.likely_at < sure.late_at < unsure.late_at
