Short runs that end between two reports tell the speed of their worker

Cause: runs of less than a poll of two seconds end before their rate is measured.

Change: the end of such a run is compared with the rates of its step's others, and run times learned from ends are those of workers of usual speed.

Measured: test_short_runs_that_end_between_two_reports_show_a_slow_worker.

--- a/src/lacewingmill/load/progress.py
+++ b/src/lacewingmill/load/progress.py
@@ -138,6 +138,13 @@
         remaining = [_remaining_s(part, now) for part in run.parts.values() if part.measured]
         return max(remaining, default=None)
 
+    def is_unmeasured(self, job_id: str) -> bool:
+        """Whether a gang began at zero and no rate of it was measured since."""
+        run = self._runs.get(job_id)
+        return (
+            run is not None and run.fresh and not any(part.measured for part in run.parts.values())
+        )
+
     def done_share(self, job_id: str) -> float | None:
         """Return the share of a gang's work that its slowest part has done; ``None`` if unknown."""
         run = self._runs.get(job_id)
--- a/src/lacewingmill/scheduling/progress_learner.py
+++ b/src/lacewingmill/scheduling/progress_learner.py
@@ -63,13 +63,32 @@
             )
         self._learn_run_time(record, worker, sample, at)
 
-    def finish(self, record: JobRecord, run_s: float) -> None:
-        """Learn the run time of a job that has finished, unless its progress told it.
+    def finish(self, record: JobRecord, run_s: float, now: float) -> None:
+        """Learn from a job that has finished what its progress has not told.
 
         :param run_s: in seconds.
         """
+        state = self._state
+        job = record.job
         if not record.run_time_learned:
-            self._learn(record, run_s)
+            slowdown = max(
+                (state.speeds.slowdown(worker, now) for worker in record.workers), default=1.0
+            )
+            self._learn(record, run_s / slowdown)
+        alone = len(record.workers) == 1 and job.needs.group
+        if alone and run_s > 0 and state.progress.is_unmeasured(job.job_id):
+            self._compare_short_run(record, record.workers[0], run_s, now)
+
+    def _compare_short_run(self, record: JobRecord, worker: str, run_s: float, now: float) -> None:
+        """Compare a run that ended before its rate could be measured with the step's others."""
+        state, job = self._state, record.job
+        if not self._comparable(record, worker):
+            return
+        self._drop_old_rates(now)
+        siblings_rate = state.progress.sibling_rate(job.needs.group, worker, now)
+        state.progress.record_rate(job.needs.group, job.job_id, worker, 1.0 / run_s, now)
+        if siblings_rate:
+            state.speeds.learn(worker, siblings_rate, 1.0 / run_s, SIBLINGS_WEIGHT, now, first=True)
 
     def saved_s(self, record: JobRecord, ran_s: float) -> float:
         """Return the run time that a stopped gang need not repeat, in seconds.
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -255,7 +255,7 @@
         record = self._state.records.get(event.job_id)
         if record is None:
             return
-        self._learner.finish(record, event.run_s)
+        self._learner.finish(record, event.run_s, now)
         self._state.failures.record_success(event.job_id, record.workers)
         self._state.end(record)
 
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -235,6 +235,14 @@
     assert cell.slow_workers().get("w2", 1.0) < 1.6
 
 
+def test_short_runs_that_end_between_two_reports_show_a_slow_worker():
+    cell = UnevenCell(6, {"w2": 0.25})
+    for number in range(18):
+        cell.submit(f"task{number}", 0.4, group="step", accelerators=8)
+    cell.play(3.0)
+    assert list(cell.slow_workers()) == ["w2"]
+
+
 def test_a_slow_worker_without_work_is_forgotten():
     speeds = WorkerSpeeds()
     speeds.learn("w0", 0.1, 0.02, 1.0, 10.0, first=True)
