Move a job off a slow worker only if its own work allows it to end in time

Cause: a move compared the learned run time elsewhere with the rest here, so a job of seven times the usual work was moved although it would be late anywhere; and a run without siblings was measured in intervals that its whole percents cannot show.

Change: the full time of a gang is at least what its measured rate and the slowdown of its workers tell. The interval follows the run's own earlier rate.

Measured: test_a_job_moves_off_a_slow_worker_only_if_it_then_ends_in_time fails for the long job without the change.

--- a/src/lacewingmill/load/progress.py
+++ b/src/lacewingmill/load/progress.py
@@ -172,7 +172,8 @@
     gain = part.share - part.interval_share
     if part.share >= 1.0 or span_s < MIN_INTERVAL_S:
         return None
-    if max(gain, usual_rate * span_s) < MIN_GAIN:
+    expected_rate = usual_rate if compared else part.best_rate or usual_rate
+    if max(gain, expected_rate * span_s) < MIN_GAIN:
         return None
     total_gain = part.share - part.first_share
     sample = RateSample(
--- a/src/lacewingmill/scheduling/moves.py
+++ b/src/lacewingmill/scheduling/moves.py
@@ -1,5 +1,7 @@
 """Moves of running gangs from slow workers to workers of usual speed."""
 
+import math
+
 import attrs
 
 from lacewingmill.scheduling.cluster import WorkerState
@@ -121,8 +123,8 @@
 
     def _times(self, record: JobRecord, slowdown: float, now: float) -> MoveTimes:
         job = record.job
-        full_s = self._state.expected_s(job)
         done_share = self._state.progress.done_share(job.job_id) or 0.0
+        full_s = self._full_s(record, done_share, slowdown, now)
         restart_s = STOP_S + RESTART_S
         if job.checkpoint:
             move_s = restart_s + RESTORE_S + full_s * (1.0 - done_share)
@@ -130,6 +132,17 @@
         elapsed_s = now - record.started_at
         return MoveTimes(stay_s(full_s, done_share, slowdown), restart_s + full_s, elapsed_s)
 
+    def _full_s(self, record: JobRecord, done_share: float, slowdown: float, now: float) -> float:
+        """Return the run time of a gang's whole work on workers of usual speed, in seconds.
+
+        A gang that takes longer than its workers' slowdown explains would do so elsewhere too.
+        """
+        expected_s = self._state.expected_s(record.job)
+        remaining_s = self._state.progress.remaining_s(record.job.job_id, now)
+        if remaining_s is None or not math.isfinite(remaining_s) or done_share >= 1.0:
+            return expected_s
+        return max(expected_s, remaining_s / (slowdown * (1.0 - done_share)))
+
     def _fits_elsewhere(self, record: JobRecord, now: float) -> bool:
         """Whether workers of usual speed, beside those of the gang, have room for it now."""
         state, job = self._state, record.job
--- a/tests/test_worker_speeds.py
+++ b/tests/test_worker_speeds.py
@@ -90,7 +90,7 @@
 
     def submit(self, job_id, work_s, *, group="", members=1, accelerators=1, **fields):
         urgent = fields.pop("urgent", False)
-        due_s = 1.5 * work_s + 0.3
+        due_s = fields.pop("due_s", 1.5 * work_s + 0.3)
         job = Job(
             job_id,
             SERVICE,
@@ -281,6 +281,20 @@
     assert not cell.evictions
 
 
+@pytest.mark.parametrize(("work_s", "sound_s", "moves"), [(2.5, 0.3, True), (17.5, 1.2, False)])
+def test_a_job_moves_off_a_slow_worker_only_if_it_then_ends_in_time(work_s, sound_s, moves):
+    """A job of seven times the usual work would be as late elsewhere."""
+    cell = UnevenCell(2)
+    cell.submit("job", work_s, expected_s=2.5, due_s=4.0, accelerators=8)
+    (slow,) = cell.starts[0][1]
+    cell.play(sound_s)
+    cell.speeds[slow] = 0.25
+    for _ in range(5):
+        cell.play(0.5)
+        cell.scheduler._state.speeds.learn(slow, 0.4, 0.1, 1.0, cell.now, first=False)
+    assert bool(cell.evictions) == moves
+
+
 def test_no_run_moves_while_no_sound_worker_is_free():
     cell = UnevenCell(6)
     cell.fill(6, work_s=12.0, checkpoint=True)
