Learn no run times from runs that a spell of slowness slowed in part

Cause: a run time was divided by the slowdown of its worker at that moment, though a spell of seconds slows a part of a run only.

Change: runs on workers slower than 1.5 teach no run time; others do.

--- a/src/lacewingmill/scheduling/progress_learner.py
+++ b/src/lacewingmill/scheduling/progress_learner.py
@@ -1,6 +1,5 @@
 """Learns run times and the speeds of workers from the progress of running gangs."""
 
-from lacewingmill.load.progress import RateSample
 from lacewingmill.scheduling.messages import ProgressReported
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.state import SchedulerState
@@ -9,6 +8,8 @@
 
 # Rates are reported in whole percents; below this gain, a run time computed from them is vague.
 MIN_LEARNED_GAIN = 0.08
+# Slower workers are so for a part of a run only, so its time tells little about the usual one.
+MAX_LEARNED_SLOWDOWN = 1.5
 # Weights of comparisons: with equal runs elsewhere, with the run's own earlier rate, and with the
 # learned run time, which says little about a single job.
 SIBLINGS_WEIGHT = 1.0
@@ -61,22 +62,19 @@
             state.speeds.learn(
                 worker, usual_rate, sample.rate, weight, at, first=sample.first_compared
             )
-        self._learn_run_time(record, worker, sample, at)
+        if not record.run_time_learned and sample.gain >= MIN_LEARNED_GAIN:
+            self._learn(record, 1.0 / sample.mean_rate, at)
 
     def finish(self, record: JobRecord, run_s: float, now: float) -> None:
         """Learn from a job that has finished what its progress has not told.
 
         :param run_s: in seconds.
         """
-        state = self._state
         job = record.job
         if not record.run_time_learned:
-            slowdown = max(
-                (state.speeds.slowdown(worker, now) for worker in record.workers), default=1.0
-            )
-            self._learn(record, run_s / slowdown)
+            self._learn(record, run_s, now)
         alone = len(record.workers) == 1 and job.needs.group
-        if alone and run_s > 0 and state.progress.is_unmeasured(job.job_id):
+        if alone and run_s > 0 and self._state.progress.is_unmeasured(job.job_id):
             self._compare_short_run(record, record.workers[0], run_s, now)
 
     def _compare_short_run(self, record: JobRecord, worker: str, run_s: float, now: float) -> None:
@@ -100,17 +98,17 @@
             return record.done_s + ran_s
         return done_share * self._state.expected_s(record.job)
 
-    def _learn_run_time(
-        self, record: JobRecord, worker: str, sample: RateSample, now: float
-    ) -> None:
-        if record.run_time_learned or sample.gain < MIN_LEARNED_GAIN:
+    def _learn(self, record: JobRecord, run_s: float, now: float) -> None:
+        """Learn a run time on workers of usual speed, unless a spell of slowness blurs it."""
+        slow = self._state.speeds.slow_workers(now)
+        slowdown = max((slow.get(worker, 1.0) for worker in record.workers), default=1.0)
+        if slowdown > MAX_LEARNED_SLOWDOWN:
             return
-        record.run_time_learned = True
-        self._learn(record, 1.0 / (sample.mean_rate * self._state.speeds.slowdown(worker, now)))
-
-    def _learn(self, record: JobRecord, run_s: float) -> None:
         job = record.job
-        self._state.run_times.learn(job.service, job.shape.name, job.shape.expected_s, run_s)
+        record.run_time_learned = True
+        self._state.run_times.learn(
+            job.service, job.shape.name, job.shape.expected_s, run_s / slowdown
+        )
 
     def _comparable(self, record: JobRecord, worker: str) -> bool:
         """Whether progress depends on the worker's speed, and not on where the job's data is.
