--- a/src/lacewingmill/scheduling/progress_learner.py
+++ b/src/lacewingmill/scheduling/progress_learner.py
@@ -1,5 +1,6 @@
 """Learns run times and the speeds of workers from the progress of running gangs."""
 
+from lacewingmill.load.progress import RateSample
 from lacewingmill.scheduling.messages import ProgressReported
 from lacewingmill.scheduling.records import JobRecord, JobState
 from lacewingmill.scheduling.state import SchedulerState
@@ -52,12 +53,7 @@
         if sample is None:
             return
         state.progress.record_rate(group, job.job_id, worker, sample.rate, at)
-        if siblings_rate:
-            usual_rate, weight = siblings_rate, SIBLINGS_WEIGHT
-        elif sample.best_before:
-            usual_rate, weight = sample.best_before, EARLIER_RATE_WEIGHT
-        else:
-            usual_rate, weight = learned_rate, LEARNED_TIME_WEIGHT if sample.first else 0.0
+        usual_rate, weight = _usual_rate(sample, siblings_rate, learned_rate)
         if weight:
             state.speeds.learn(
                 worker, usual_rate, sample.rate, weight, at, first=sample.first_compared
@@ -124,3 +120,17 @@
         if now - self._rates_dropped_at >= DROP_RATES_S:
             self._rates_dropped_at = now
             self._state.progress.drop_old_rates(now)
+
+
+def _usual_rate(
+    sample: RateSample, siblings_rate: float, learned_rate: float
+) -> tuple[float, float]:
+    """Return the rate that a sample is compared with, and the weight of the comparison.
+
+    :param siblings_rate: median rate of equal runs elsewhere; 0 for none.
+    """
+    if siblings_rate:
+        return siblings_rate, SIBLINGS_WEIGHT
+    if sample.best_before:
+        return sample.best_before, EARLIER_RATE_WEIGHT
+    return learned_rate, LEARNED_TIME_WEIGHT if sample.first else 0.0
