--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -182,6 +182,11 @@
         "Accelerators of the team that uses most, against its share, at the VM that directs",
         director_gauge(lambda director: director.largest_team_use),
     )
+    metrics.add_gauge(
+        "lacewingmill_slow_workers",
+        "Workers that are slower than usual, at the VM that directs",
+        director_gauge(lambda director: director.slow_workers),
+    )
     metrics.add_gauge(
         "lacewingmill_configuration_version",
         "Version of the configuration in force at this VM",
--- a/src/lacewingmill/jobs/scheduler_inputs.py
+++ b/src/lacewingmill/jobs/scheduler_inputs.py
@@ -131,6 +131,7 @@
         ),
         lasting=step.lasting,
         group_size=1 if step.gang else step.count,
+        resumed=bool(graph.checkpoints.get(unit.task(unit.indexes[0]))),
     )
 
 
--- a/src/lacewingmill/load/backlog.py
+++ b/src/lacewingmill/load/backlog.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from lacewingmill.load.forecast import EARLY_SHARE
 from lacewingmill.models import Shape
 from lacewingmill.scheduling.messages import Job
 from lacewingmill.scheduling.state import SchedulerState
@@ -20,6 +19,8 @@
     "sum_up_backlog",
 ]
 
+# Run times of waiting jobs are off by about half in either direction.
+EARLY_SHARE = 0.5
 # Learned run times of a queue may all be too long by about this share.
 MOST_CERTAIN_SHARE = 0.8
 
--- a/src/lacewingmill/ports.py
+++ b/src/lacewingmill/ports.py
@@ -40,6 +40,7 @@
         "Accelerator-seconds of work that the eviction of a unit threw away",
     )
     TOO_LATE = ("lacewingmill_units_too_late", "Waiting units that gave way as they end too late")
+    MOVES = ("lacewingmill_moves", "Units stopped on a slow worker to go on elsewhere")
     STORED = ("lacewingmill_stored_seconds", "From a hand-in to its being stored")
     FIRST_START = ("lacewingmill_first_start_seconds", "From acceptance to the first start ordered")
     SHOWN = ("lacewingmill_shown_seconds", "From the end of a job to its being stored and shown")
--- a/src/lacewingmill/scheduling/messages.py
+++ b/src/lacewingmill/scheduling/messages.py
@@ -178,6 +178,7 @@
         run times.
     :param lasting: whether it runs until it is cancelled, whatever its shape's run time says.
     :param group_size: number of jobs of its group, which are of use only when all of them are done.
+    :param resumed: whether an earlier run, which this scheduler may not know, left a checkpoint.
     """
 
     job_id: str
@@ -193,6 +194,7 @@
     objective: Objective | None = None
     lasting: bool = False
     group_size: int = 1
+    resumed: bool = False
 
     @property
     def evictable(self) -> bool:
