Explorer: seed 43 finds the advised unit that waits for replaced workers

Seed 42 no longer leads to the fault when it is brought back: with run times learned from progress, its jobs take another course (switching that learning off finds it again). Seed 43 finds the fault and is clean on the code as it is; seed 42 stays among the seeds that must be clean.

--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -34,11 +34,11 @@
 CAUSES = (
     (take_unlisted_workers_for_gone, 1, "TWICE"),
     (avoid_workers_after_a_failure_for_good, 7, "LOST"),
-    (never_ask_about_workers_that_join, 42, "LOST"),
+    (never_ask_about_workers_that_join, 43, "LOST"),
     (ignore_evacuations, 8, "EVAC"),
 )
 # Those of the causes, one with evacuations, and one that once showed a fault of the emulation.
-SEEDS = (1, 4, 6, 7, 8, 42)
+SEEDS = (1, 4, 6, 7, 8, 42, 43)
 
 
 @pytest.mark.parametrize(("bring_back", "seed", "rule"), CAUSES)
