Evictions: a claim waits for ends no longer than a stop takes

Cause: once forecasts rest on progress they are sure more often, and urgent claims waited up to 2 s for ends, kept the freed room idle meanwhile and started just in time by an estimate. Change: the wait is bounded by the time that a stop takes. The test of the wait reports progress, so that its forecasts are sure; a new one refuses longer waits.

--- a/src/lacewingmill/scheduling/eviction_policy.py
+++ b/src/lacewingmill/scheduling/eviction_policy.py
@@ -33,9 +33,6 @@
 LATE_SHARE = 0.1
 # A job evicted this often is stopped again only for guaranteed work, so that it can finish.
 MAX_EVICTIONS = 2
-# Room that becomes free for a claim stands idle until the claim has all of it, so a claim waits for
-# ends no longer than this.
-MAX_CLAIM_WAIT_S = 2.0
 
 
 @attrs.frozen
@@ -107,7 +104,8 @@
     """Return the last moment at which gangs can be stopped for a claim made now, in seconds.
 
     For guaranteed work it is limited by the time in which such work must have begun; a job that
-    can be on time is also limited by its soft deadline.
+    can be on time is also limited by its soft deadline. Room that becomes free for a claim stands
+    idle until the claim has all of it, so a claim waits no longer than a stop takes.
 
     :param expected_s: expected run time of the job, in seconds.
     :return: ``now`` or a later time.
@@ -120,7 +118,7 @@
         latest = float("inf")
     if guaranteed:
         latest = min(latest, job.submitted_at + limits.begin_s - lead_s)
-    return max(now, min(latest, now + MAX_CLAIM_WAIT_S))
+    return max(now, min(latest, now + limits.stop_s))
 
 
 def ends_in_time(forecast: RunForecast, stop_at: float, limits: EvictionRules) -> bool:
