--- a/src/lacewingmill/job_composition.py
+++ b/src/lacewingmill/job_composition.py
@@ -41,6 +41,35 @@
 __all__ = ["VmEnvironment", "build_job_vm"]
 
 
+# Gauges of the director by name, with their meaning; they are 0 at a VM that is not the owner.
+DIRECTOR_GAUGES: dict[str, tuple[str, Callable[[Director], float]]] = {
+    "lacewingmill_directs_jobs": (
+        "1 while this VM directs the jobs",
+        lambda director: director.recovered,
+    ),
+    "lacewingmill_units_waiting": (
+        "Units that wait for workers, at the VM that directs",
+        lambda director: director.backlog,
+    ),
+    "lacewingmill_units_running": (
+        "Units that hold workers, at the VM that directs",
+        lambda director: director.running,
+    ),
+    "lacewingmill_evacuated_workers": (
+        "Workers in evacuated failure domains, at the VM that directs",
+        lambda director: director.evacuated_workers,
+    ),
+    "lacewingmill_largest_team_use": (
+        "Accelerators of the team that uses most, against its share, at the VM that directs",
+        lambda director: director.largest_team_use,
+    ),
+    "lacewingmill_slow_workers": (
+        "Workers that are slower than usual, at the VM that directs",
+        lambda director: director.slow_workers,
+    ),
+}
+
+
 @attrs.frozen
 class VmEnvironment:
     """Clock, network and randomness that a VM uses; tests pass emulations of them.
@@ -152,41 +181,13 @@
 
 
 def _add_gauges(metrics: Metrics, vm: JobVm, follower: OperatorFollower, clock: Clock) -> None:
-    """Add the gauges of a VM; those of the director are 0 at a VM that is not the owner."""
+    """Add the gauges of a VM."""
 
     def director_gauge(read: Callable[[Director], float]) -> Callable[[], float]:
         return lambda: float(read(vm.director)) if vm.director is not None else 0.0
 
-    metrics.add_gauge(
-        "lacewingmill_directs_jobs",
-        "1 while this VM directs the jobs",
-        director_gauge(lambda director: director.recovered),
-    )
-    metrics.add_gauge(
-        "lacewingmill_units_waiting",
-        "Units that wait for workers, at the VM that directs",
-        director_gauge(lambda director: director.backlog),
-    )
-    metrics.add_gauge(
-        "lacewingmill_units_running",
-        "Units that hold workers, at the VM that directs",
-        director_gauge(lambda director: director.running),
-    )
-    metrics.add_gauge(
-        "lacewingmill_evacuated_workers",
-        "Workers in evacuated failure domains, at the VM that directs",
-        director_gauge(lambda director: director.evacuated_workers),
-    )
-    metrics.add_gauge(
-        "lacewingmill_largest_team_use",
-        "Accelerators of the team that uses most, against its share, at the VM that directs",
-        director_gauge(lambda director: director.largest_team_use),
-    )
-    metrics.add_gauge(
-        "lacewingmill_slow_workers",
-        "Workers that are slower than usual, at the VM that directs",
-        director_gauge(lambda director: director.slow_workers),
-    )
+    for name, (meaning, read) in DIRECTOR_GAUGES.items():
+        metrics.add_gauge(name, meaning, director_gauge(read))
     metrics.add_gauge(
         "lacewingmill_configuration_version",
         "Version of the configuration in force at this VM",
--- a/src/lacewingmill/scheduling/departures.py
+++ b/src/lacewingmill/scheduling/departures.py
@@ -1,7 +1,7 @@
 """Runs on workers that are about to leave: which ones are stopped to start again elsewhere.
 
 A run that does not end before its worker leaves is lost, and with it the gang. It is stopped early
-if the work that it would still do in vain outweighs what a stop loses.
+if the work that it would still do and lose outweighs what a stop loses.
 """
 
 from lacewingmill.load.forecast import RunForecast
@@ -37,7 +37,7 @@
     def __init__(self, state: SchedulerState):
         self._state = state
 
-    def stop_doomed(self, now: float) -> None:
+    def stop_early(self, now: float) -> None:
         """Stop the gangs that lose less by a stop now; nothing is done without limits of time."""
         state = self._state
         if not state.eviction_rules.notice_s:
@@ -48,16 +48,18 @@
                 continue
             for job_id in list(worker_state.members):
                 record = state.records[job_id]
-                if record.state is JobState.RUNNING and self._is_doomed(record, worker, now):
+                if record.state is JobState.RUNNING and self._loses_less_by_stop(
+                    record, worker, now
+                ):
                     state.evict(record, f"{worker} leaves", now, EvictionReason.DEPARTURE)
 
-    def _is_doomed(self, record: JobRecord, worker: str, now: float) -> bool:
+    def _loses_less_by_stop(self, record: JobRecord, worker: str, now: float) -> bool:
         state = self._state
         left_s = state.departures.leaves_at(worker) - now
         if record.job.lasting or left_s <= 0:
             return False
         if len(record.workers) == 1 and not record.job.checkpoint:
-            return False  # it loses as much by a stop, and holds no sound worker in vain
+            return False  # a stop costs as much as the departure, and frees no other worker
         if not self._fits_elsewhere(record):
             return False
         running = running_share(state.forecast(record, now), now + left_s)
--- a/src/lacewingmill/scheduling/scheduler.py
+++ b/src/lacewingmill/scheduling/scheduler.py
@@ -124,7 +124,7 @@
         self._claims.place(now)
         self._quotas.place(now)
         self._borrowing.place(now)
-        self._departures.stop_doomed(now)
+        self._departures.stop_early(now)
         if state.rules.defragment:
             self._defragmenter.defragment(now)
         self._moves.plan(now)
