Runs given up and repeated: log the cause, and progress that an owner leaves unstored

Change: run_given_up (438), run_repeated (439), end_of_unknown_job (440) and progress_unstored (408), with counters by cause; jobs_recovered (403) names the silent workers. No decision changes.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -71,6 +71,7 @@
     JOBS_RECOVERED = (403, "info", "A new owner has read the jobs and what runs on the workers.")
     JOBS_OWNER_UNREADABLE = (406, "error", "The record of the owner or its term is unreadable.")
     JOBS_FAILURE_UNCOUNTED = (407, "warning", "The failure of an owner was not counted.")
+    PROGRESS_UNSTORED = (408, "warning", "An owner left before it had stored the progress of jobs.")
     JOB_ACCEPTED = (410, "info", "A job is stored and reported to its client as accepted.")
     JOB_NOT_ACCEPTED = (411, "info", "A job was refused and never runs; gives the reason.")
     JOB_DOUBTFUL = (412, "warning", "It is unknown if a job was stored; its client is told so.")
@@ -103,6 +104,13 @@
         "A start or stop got no usable answer; it may still be carried out.",
     )
     STRAY_STOPPED = (425, "warning", "A worker ran a task that no unit needs; it is stopped.")
+    RUN_GIVEN_UP = (438, "warning", "A run counts as over although no end was listed; gives why.")
+    RUN_REPEATED = (439, "warning", "A run is done whose unit has a later run; gives both and why.")
+    END_OF_UNKNOWN_JOB = (
+        440,
+        "warning",
+        "A worker listed the end of a run of a job not known here.",
+    )
     WORKER_SILENT = (430, "warning", "A worker does not answer or is unhealthy; it gets no work.")
     WORKER_UNLISTED = (431, "warning", "A worker is no longer listed in the store.")
     WORKER_UNREADABLE = (432, "warning", "The entry of a worker cannot be decoded; it is skipped.")
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -38,7 +38,7 @@
 from lacewingmill.jobs.takeover import Takeover
 from lacewingmill.jobs.unit_planner import UnitPlanner
 from lacewingmill.jobs.unit_runner import UnitRunner
-from lacewingmill.jobs.units import Member
+from lacewingmill.jobs.units import GoneCause, Member
 from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.jobs.worker_pool import WorkerPool
 from lacewingmill.load.digest import AdmissionDigest
@@ -63,6 +63,7 @@
 FIRST_CONTACT_TIMEOUT_S = 0.8
 FIRST_CONTACT_POLL_S = 0.02
 DEFERRED_RETRY_S = 1.0
+MAX_NAMED_WORKERS = 20  # in a log line
 
 
 @attrs.frozen
@@ -231,6 +232,7 @@
             jobs=len(self.registry.graphs),
             running=len(self._runner),
             silent=len(silent),
+            silent_workers=[link.worker for link in silent[:MAX_NAMED_WORKERS]],
             held_back=self._takeover.held_back,
         )
         if silent:
@@ -295,9 +297,9 @@
             ):
                 self._planner.feed_progress(service, event)
 
-    def on_member_gone(self, link: WorkerLink, member: Member) -> None:
+    def on_member_gone(self, link: WorkerLink, member: Member, cause: GoneCause) -> None:
         """Handle a member that certainly no longer runs, though the worker listed no end of it."""
-        self._runner.on_member_gone(link, member)
+        self._runner.on_member_gone(link, member, cause)
 
     def on_worker_silent(self, link: WorkerLink) -> None:
         """Handle a worker that does not answer or reports that it is unhealthy."""
--- a/src/lacewingmill/jobs/link_listener.py
+++ b/src/lacewingmill/jobs/link_listener.py
@@ -7,7 +7,7 @@
 
 from lacewingmill.exceptions import TransportError
 from lacewingmill.jobs.ports import HoldReport, StartOutcome
-from lacewingmill.jobs.units import Member
+from lacewingmill.jobs.units import GoneCause, Member
 
 if TYPE_CHECKING:
     from lacewingmill.jobs.worker_link import WorkerLink
@@ -64,7 +64,7 @@
             be acknowledged to the worker only then.
         """
 
-    def on_member_gone(self, link: "WorkerLink", member: Member) -> None:
+    def on_member_gone(self, link: "WorkerLink", member: Member, cause: GoneCause) -> None:
         """Handle a member that certainly no longer runs, though the worker listed no end of it."""
 
     def on_worker_silent(self, link: "WorkerLink") -> None:
--- a/src/lacewingmill/jobs/store_writer.py
+++ b/src/lacewingmill/jobs/store_writer.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from lacewingmill.codec import encode
-from lacewingmill.events import EventLog
+from lacewingmill.events import EventLog, LogEvent
 from lacewingmill.exceptions import StoreUnavailable, TransactionConflict
 from lacewingmill.jobs.keys import OWNER_KEY
 from lacewingmill.jobs.ports import ItemRevision, Put, Transaction, TransactionStore
@@ -22,6 +22,7 @@
 MAX_KEYS_PER_COMMIT = 15
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
+MAX_NAMED_KEYS = 15  # in a log line
 
 
 @attrs.define
@@ -66,6 +67,7 @@
         self._on_fenced = on_fenced
         self._revisions: dict[str, int] = {}
         self._staged: dict[str, _Staged] = {}
+        self._writing: dict[str, _Staged] = {}
         self._wake = Event()
         self._stopped = False
         self._backoff = Backoff(RETRY_S, MAX_RETRY_S, rng)
@@ -93,6 +95,11 @@
 
     def stop(self) -> None:
         """Stop writing; messages that still wait are discarded."""
+        unstored = [*self._writing, *self._staged]
+        if unstored and not self._stopped:
+            self._log.emit(
+                LogEvent.PROGRESS_UNSTORED, count=len(unstored), keys=unstored[:MAX_NAMED_KEYS]
+            )
         self._stopped = True
         self._loop.kill(block=False)
 
@@ -104,7 +111,9 @@
                 batch = dict(list(self._staged.items())[:MAX_KEYS_PER_COMMIT])
                 for key in batch:
                     del self._staged[key]
+                self._writing = batch
                 self._write(batch)
+                self._writing = {}
 
     def _write(self, batch: dict[str, _Staged]) -> None:
         values = {}
--- a/src/lacewingmill/jobs/unit_runner.py
+++ b/src/lacewingmill/jobs/unit_runner.py
@@ -13,8 +13,9 @@
 from lacewingmill.jobs.link_listener import StartResult
 from lacewingmill.jobs.model import TaskId, Unit
 from lacewingmill.jobs.ports import EndedRun, ListedRun, RunOutcome
+from lacewingmill.jobs.run_audit import RunAudit
 from lacewingmill.jobs.unit_planner import UnitPlanner
-from lacewingmill.jobs.units import ActiveUnit, CloseReason, Member, MemberState
+from lacewingmill.jobs.units import ActiveUnit, CloseReason, GoneCause, Member, MemberState
 from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.ports import Clock, Meter, Meters
 from lacewingmill.scheduling.messages import (
@@ -95,6 +96,7 @@
         self._on_job_advanced = on_job_advanced
         self._requeue = requeue
         self._on_failed = on_failed
+        self._audit = RunAudit(log, meters)
         self._active: dict[str, ActiveUnit] = {}
         self._runs: dict[str, int] = {}
 
@@ -178,10 +180,12 @@
                 unit.task(unit.indexes[0])
             ] = listed.saved
 
-    def on_member_gone(self, link: WorkerLink, member: Member) -> None:
+    def on_member_gone(self, link: WorkerLink, member: Member, cause: GoneCause) -> None:
         """Handle a member that certainly no longer runs, though the worker listed no end of it."""
         member.state = MemberState.GONE
         active = self.find(member.task)
+        if active is not None:
+            self._audit.record_given_up(active.unit, member, cause)
         if active is not None and active.members.get(member.task) is member:
             self.close(active, CloseReason.LOST, link.worker)
 
@@ -215,6 +219,13 @@
         """
         unit = self._registry.unit_of(ended.task)
         if unit is None:
+            self._log.emit(
+                LogEvent.END_OF_UNKNOWN_JOB,
+                worker=link.worker,
+                task=str(ended.task),
+                run=ended.run,
+                end=ended.end.value,
+            )
             return None
         graph = self._registry.graphs[unit.job_id]
         if graph.state.final or graph.is_ready(unit):
@@ -240,6 +251,7 @@
             LogEvent.RUN_ENDED, worker=link.worker, unit=unit.unit_id, run=ended.run, end=end
         )
         if ended.end is RunOutcome.DONE:
+            self._audit.check_done(unit, ended, link.worker, self._latest_run(unit))
             return self._handle_done(unit, active)
         if ended.end is RunOutcome.FAILED and (active is None or not active.failure_counted):
             return self._handle_failure(link, unit, ended.run, active)
@@ -247,6 +259,11 @@
             self.close(active, CloseReason.LOST, link.worker)
         return None
 
+    def _latest_run(self, unit: Unit) -> int:
+        """Return the number of the latest run that this owner has started or adopted, or 0."""
+        active = self._active.get(unit.unit_id)
+        return max(self._runs.get(unit.unit_id, 0), active.run if active is not None else 0)
+
     def close(self, active: ActiveUnit, reason: CloseReason, responsible_worker: str) -> None:
         """Release a unit's workers, and notify the planner once no member is left.
 
--- a/src/lacewingmill/jobs/units.py
+++ b/src/lacewingmill/jobs/units.py
@@ -7,7 +7,7 @@
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.model import Step, TaskId, Unit
 
-__all__ = ["ActiveUnit", "CloseReason", "Member", "MemberState"]
+__all__ = ["ActiveUnit", "CloseReason", "GoneCause", "Member", "MemberState"]
 
 
 class MemberState(enum.Enum):
@@ -37,6 +37,20 @@
     CANCELLED = "cancelled"
 
 
+class GoneCause(enum.Enum):
+    """Why a member counts as gone although its worker listed no end of it.
+
+    ``NOT_LISTED``: the worker lists it neither as running nor as ended. ``REPLACED``: another
+    worker answers at the address. ``EXITED``: no machine runs the worker. ``LEASES_OVER``: the
+    worker did not answer until all leases had expired.
+    """
+
+    NOT_LISTED = "not_listed"
+    REPLACED = "replaced"
+    EXITED = "exited"
+    LEASES_OVER = "leases_over"
+
+
 @attrs.define(eq=False)
 class Member:
     """A task of a unit on a worker.
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -22,7 +22,7 @@
     WorkerOrders,
 )
 from lacewingmill.jobs.settings import PlatformLimits
-from lacewingmill.jobs.units import Member, MemberState
+from lacewingmill.jobs.units import GoneCause, Member, MemberState
 from lacewingmill.ports import Clock
 from lacewingmill.tasks import spawn_with_callback
 
@@ -380,7 +380,7 @@
             vanished = member.state is MemberState.RUNNING and member.confirmed_at <= sent_at
             if stopped or vanished:
                 self.remove_member(member)
-                self._listener.on_member_gone(self, member)
+                self._listener.on_member_gone(self, member, GoneCause.NOT_LISTED)
 
     def _handle_restart(self, incarnation: int) -> None:
         """Handle a restart of the worker's process.
@@ -391,20 +391,20 @@
         self._acks.reset()
 
     def _handle_replaced(self) -> None:
-        self._remove_all_members()
+        self._remove_all_members(GoneCause.REPLACED)
         self._mark_silent()
 
-    def _remove_all_members(self) -> None:
+    def _remove_all_members(self, cause: GoneCause) -> None:
         for member in list(self.members.values()):
             if member.state is MemberState.PLANNED:
                 continue
             self.remove_member(member)
-            self._listener.on_member_gone(self, member)
+            self._listener.on_member_gone(self, member, cause)
 
     def _record_failure(self) -> None:
         self._failures += 1
         if self.members and self._listener.has_exited(self):
-            self._declare_lost()
+            self._declare_lost(GoneCause.EXITED)
             return
         if self._failures >= SILENT_AFTER_FAILURES:
             self._mark_silent()
@@ -417,11 +417,11 @@
 
     def _check_expiry(self) -> None:
         if self.members and self._lease.expired:
-            self._declare_lost()
+            self._declare_lost(GoneCause.LEASES_OVER)
 
-    def _declare_lost(self) -> None:
+    def _declare_lost(self, cause: GoneCause) -> None:
         self._partly_heard = False
-        self._remove_all_members()
+        self._remove_all_members(cause)
         if self.opened:
             self.opened = False
             self._listener.on_worker_lost(self)
--- a/src/lacewingmill/ports.py
+++ b/src/lacewingmill/ports.py
@@ -33,6 +33,8 @@
 
     JOBS = ("lacewingmill_jobs", "Jobs by outcome and cause")
     RUNS = ("lacewingmill_runs", "Runs of tasks by their end")
+    GIVEN_UP = ("lacewingmill_runs_given_up", "Runs taken for over without a listed end, by cause")
+    REPEATED = ("lacewingmill_runs_repeated", "Runs that were done beside a later run, by cause")
     ORDERS = ("lacewingmill_orders", "Starts ordered by what the worker made of them")
     EVICTIONS = ("lacewingmill_evictions", "Units that gave their workers back, by reason")
     EVICTED_WORK = (
