Test: an acknowledgement that reaches a worker's next life repeats a run (fails)

Seen on the emulated platform, at: a worker lists end 4, the owner stores it, and the worker starts again under its id before the acknowledgement, which waits up to 1 s for a start. The poll after that start carries acked_upto = 4. Ends 1 to 4 of the new life are forgotten unlisted: each run there ends `done`, counts as not_listed and is started again, up to four times. run_s=0: four runs given up; run_s=3: two in 9 s, and the job is still running. Both cases fail in check_that_a_task_runs_once.

The emulated executor is stricter now: it forgets all ends up to the highest acked_upto of its life, as the protocol words it ("Ends up to `acked_upto` are forgotten"), also those that come later. Before, it forgot those that were there at the time of the call, which repeats only runs that end at once.

--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -180,6 +180,7 @@
         self._running: dict[str, Run] = {}
         self._ended: list[tuple[int, Run]] = []
         self._end_count = 0
+        self._acked_upto = 0
         self._changed = Event()
 
     def registration(self, state: str = "ready") -> dict:
@@ -323,10 +324,8 @@
         self.fence = req.get("fence", 0)
         if "deadline_ms" in req:
             self._extend_lease(req["deadline_ms"])
-        for number, run in self._ended:
-            if number <= req["acked_upto"]:
-                run.acknowledged = run.ended_at >= self._lease_lapsed_at
-        self._ended = [end for end in self._ended if end[0] > req["acked_upto"]]
+        self._acked_upto = max(self._acked_upto, req["acked_upto"])
+        self._forget_acknowledged()
         ends_at = self._clock.now() + min(MAX_POLL_WAIT_S, req.get("wait_ms", 0) / 1000)
         while not self._ended and self._clock.now() < ends_at and self.exited_at is None:
             self._clock.wait(self._changed, min(ends_at, self._next_event_at()) - self._clock.now())
@@ -343,6 +342,13 @@
             ],
         )
 
+    def _forget_acknowledged(self) -> None:
+        """Forget the ends up to the highest acknowledged number, listed or not."""
+        for number, run in self._ended:
+            if number <= self._acked_upto:
+                run.acknowledged = run.ended_at >= self._lease_lapsed_at
+        self._ended = [end for end in self._ended if end[0] > self._acked_upto]
+
     def _percent(self, run: Run) -> int:
         return int(100 * min(1.0, self._work_done_s(run) / run.run_s))
 
@@ -408,6 +414,7 @@
         del self._running[run.task]
         self._end_count += 1
         self._ended.append((self._end_count, run))
+        self._forget_acknowledged()
         self._wake()
 
     def _wake(self) -> None:
--- /dev/null
+++ b/tests/test_acks_across_lives.py
@@ -0,0 +1,39 @@
+"""Acknowledgements of ends to workers that start again under their id; virtual time."""
+
+import pytest
+
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
+from tests.test_platform_path import run
+
+
+def fleet_with_an_unacknowledged_end():
+    """Return a fleet whose owner has stored an end that it has not acknowledged to its worker."""
+    fleet = PlatformFleet(vms=1, executors=1)
+    wait_for_owner(fleet)
+    steps = [step(count=4)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=0.2", seconds=0.6)
+    assert [entry.acknowledged for entry in fleet.run_history.runs].count(False) == 1
+    return fleet
+
+
+def start_again(fleet):
+    """Let the worker crash and start again under its id."""
+    fleet.executors[0].crash()
+    fleet.operator.register(fleet.executors[0])
+
+
+def check_that_a_task_runs_once(fleet, run_s):
+    """Run one more task."""
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(2), [step()], f"run_s={run_s}", seconds=9.0)
+    assert run(fleet, fleet.state, "vm0", "ordinary", job_id(2)) == "completed"
+    fleet.check_invariants()
+    assert len(fleet.run_history.runs) == 5
+
+
+# Guards against telling a worker to forget the end of a run that the owner has not seen: the worker
+# started again between an earlier end and its acknowledgement, and then got a start.
+@pytest.mark.parametrize("run_s", [0, 3])
+def test_an_end_of_the_earlier_life_is_not_acknowledged_after_a_start(run_s):
+    fleet = fleet_with_an_unacknowledged_end()
+    start_again(fleet)
+    check_that_a_task_runs_once(fleet, run_s)
