Acknowledge no end after a start that another life of the worker answered

Cause: a worker that starts again under its id numbers its ends anew, and only its lists of runs name its incarnation. An idle worker is acknowledged with the poll after its next start, so a restart within the 1 s between an end and its acknowledgement went unnoticed, and the number was sent to the new life.

Why it works: each answer to a start carries the worker's steady clock, which never goes back and is at most 2% slow. A reading below what the last one allows comes from another life; the next poll then acknowledges nothing and learns the incarnation, which resets the numbers. A false alarm costs one poll's delay of an acknowledgement. Left: a restart within that 1 s with no start before the poll.

--- a/src/lacewingmill/jobs/lease_clock.py
+++ b/src/lacewingmill/jobs/lease_clock.py
@@ -10,6 +10,8 @@
 # Covers a worker's clock that runs 2 % slow.
 CLOCK_DRIFT_FACTOR = 1.03
 EXPIRY_MARGIN_S = 0.2
+# Covers the rounding of readings.
+READING_ERROR_S = 0.05
 
 
 class LeaseClock:
@@ -35,6 +37,16 @@
         self._read_at = self._clock.now()
         self._offset = worker_s - self._read_at
 
+    def started_again(self, worker_s: float, sent_at: float) -> bool:
+        """Whether a reading shows that the worker's clock, which never goes back, began anew.
+
+        :param worker_s: the reading, in seconds.
+        :param sent_at: when the call that returned it was sent, in seconds.
+        """
+        elapsed_s = sent_at - self._read_at
+        least_s = self._read_at + self._offset + min(elapsed_s, elapsed_s / CLOCK_DRIFT_FACTOR)
+        return worker_s < least_s - READING_ERROR_S
+
     def count_earlier_leases(self) -> None:
         """Count the leases that earlier owners may have requested up to now."""
         self._expires_at = max(
--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -107,6 +107,8 @@
         self._unhealthy_until = 0.0
         self._poll_requested = False
         self._partly_heard = False
+        self._doubted_at = float("-inf")  # when another life of the worker answered a start
+        self._asked_at = float("-inf")  # when the latest report was asked for
         self._loop = spawn_with_callback(self._run, listener.on_failed)
 
     @property
@@ -195,8 +197,11 @@
         order = StartOrder(member.task, member.run, spec, until, fence, checkpoint, ticket)
         if member.state is MemberState.PLANNED:
             member.state = MemberState.ORDERED
+        sent_at = self._clock.now()
         answer = self._orders.start(self.entry, order, timeout_s=self._order_timeout_s())
         if answer.clock_s:
+            if self._lease.started_again(answer.clock_s, sent_at):
+                self._doubted_at = self._clock.now()
             self._lease.set_worker_time(answer.clock_s)
         return answer
 
@@ -293,7 +298,7 @@
         heard = self.opened or self._partly_heard
         until = self._lease.extend() if heard and self._failures == 0 else 0.0
         sent_at = self._clock.now()
-        acked = self._acks.to_send if self._failures == 0 else 0
+        acked = 0 if self._failures or self._may_have_restarted else self._acks.to_send
         order = HoldOrder(self._owner_lease.fence, acked, until, wait_s)
         hurried = not self.opened and self._failures < FIRST_POLLS
         margin_s = min(LONG_POLL_MARGIN_S * (1 + self._failures), MAX_POLL_MARGIN_S)
@@ -315,6 +320,14 @@
             self._acks.sent = max(self._acks.sent, acked)
             self._apply_report(report, sent_at)
 
+    @property
+    def _may_have_restarted(self) -> bool:
+        """Whether a start since the latest report was answered by another life of the worker.
+
+        Ends are acknowledged again after its next report, which tells its incarnation.
+        """
+        return self._doubted_at > self._asked_at
+
     def _handle_poll_failure(self) -> None:
         """Record a poll without a usable report, and pause before the next one."""
         self._record_failure()
@@ -341,6 +354,7 @@
         self._failures = 0
         self.reported_at = self._clock.now()
         self._lease.set_worker_time(report.clock_s)
+        self._asked_at = sent_at
         if report.incarnation != self._incarnation:
             self._handle_restart(report.incarnation)
         new_ends = tuple(ended for ended in report.ended if ended.number > self._acks.seen)
--- a/tests/test_lease_clock.py
+++ b/tests/test_lease_clock.py
@@ -38,3 +38,17 @@
     lease.set_worker_time(0.0)
     clock.advance(idle_s)
     assert lease.extend() - (clock.now() - started_at) >= LONGEST_S / 2 * 0.95
+
+
+# Guards against taking a worker whose clock runs slow for one that has started again, and one that
+# has started again for the same.
+@pytest.mark.parametrize("idle_s", [0.0, 20.0, 600.0])
+def test_a_clock_that_began_anew_is_told_from_a_slow_one(idle_s):
+    clock = VirtualClock()
+    lease = LeaseClock(clock, LONGEST_S)
+    lease.set_worker_time(50.0)
+    clock.advance(idle_s)
+    sent_at = clock.now()
+    clock.advance(0.3)
+    assert not lease.started_again(50.0 + idle_s * SLOWEST, sent_at)
+    assert lease.started_again(50.0 + idle_s * SLOWEST - 10.0, sent_at)
