Acknowledge ends only to a life of the worker that was heard within 0.5 s

Cause: the ends of an idle worker are acknowledged after 1 s. A worker that crashed and was up again within that second got the number of its earlier life, and forgot as many ends of the new one unlisted, for every later owner too.

Evidence: test_an_end_of_the_earlier_life_is_not_acknowledged_to_an_idle_worker fails before (runs 1 and 2 given up as not_listed, the job still running after 9 s).

Why it works: a number is sent only while the worker's last report, or an answer to a start that its clock shows to come from the same life, is at most 0.5 s old. Otherwise a poll without it goes first and the acknowledgement follows at once. Cost: one more poll for an idle worker that gets no start within 1 s.

--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -56,6 +56,8 @@
 LEAVING_RETRY_S = 0.05
 # When a worker is idle, its ends are acknowledged with the next start, or after this time.
 ACK_DELAY_S = 1.0
+# A worker that has said nothing for longer may have started again, and numbers its ends anew.
+MAX_ACK_AGE_S = 0.5
 SILENT_AFTER_FAILURES = 2
 UNHEALTHY_PAUSE_S = 1.0
 
@@ -107,6 +109,7 @@
         self._unhealthy_until = 0.0
         self._poll_requested = False
         self._partly_heard = False
+        self._heard_at = float("-inf")  # when the life that listed the latest ends was last heard
         self._doubted_at = float("-inf")  # when another life of the worker answered a start
         self._asked_at = float("-inf")  # when the latest report was asked for
         self._loop = spawn_with_callback(self._run, listener.on_failed)
@@ -202,6 +205,8 @@
         if answer.clock_s:
             if self._lease.started_again(answer.clock_s, sent_at):
                 self._doubted_at = self._clock.now()
+            else:
+                self._heard_at = sent_at
             self._lease.set_worker_time(answer.clock_s)
         return answer
 
@@ -298,7 +303,10 @@
         heard = self.opened or self._partly_heard
         until = self._lease.extend() if heard and self._failures == 0 else 0.0
         sent_at = self._clock.now()
-        acked = 0 if self._failures or self._may_have_restarted else self._acks.to_send
+        acked = self._acks.to_send if self._failures == 0 else 0
+        if acked and self._may_have_restarted:
+            acked = 0
+            self._poll_requested = True  # to acknowledge as soon as the worker has answered
         order = HoldOrder(self._owner_lease.fence, acked, until, wait_s)
         hurried = not self.opened and self._failures < FIRST_POLLS
         margin_s = min(LONG_POLL_MARGIN_S * (1 + self._failures), MAX_POLL_MARGIN_S)
@@ -322,11 +330,13 @@
 
     @property
     def _may_have_restarted(self) -> bool:
-        """Whether a start since the latest report was answered by another life of the worker.
+        """Whether the worker may have started again since its latest report.
 
         Ends are acknowledged again after its next report, which tells its incarnation.
         """
-        return self._doubted_at > self._asked_at
+        if self._doubted_at > self._asked_at:
+            return True
+        return self._clock.now() - max(self.reported_at, self._heard_at) > MAX_ACK_AGE_S
 
     def _handle_poll_failure(self) -> None:
         """Record a poll without a usable report, and pause before the next one."""
--- a/tests/test_acks_across_lives.py
+++ b/tests/test_acks_across_lives.py
@@ -37,3 +37,20 @@
     fleet = fleet_with_an_unacknowledged_end()
     start_again(fleet)
     check_that_a_task_runs_once(fleet, run_s)
+
+
+# Guards against the same where the worker gets no start before the acknowledgement.
+def test_an_end_of_the_earlier_life_is_not_acknowledged_to_an_idle_worker():
+    fleet = fleet_with_an_unacknowledged_end()
+    start_again(fleet)
+    fleet.clock.advance(3.0)
+    check_that_a_task_runs_once(fleet, 3)
+
+
+# Guards against an end that is never acknowledged because the worker is idle.
+def test_the_last_end_of_an_idle_worker_is_acknowledged():
+    fleet = fleet_with_an_unacknowledged_end()
+    polls = fleet.network.call_counts["/hold"]
+    fleet.clock.advance(3.0)
+    assert all(entry.acknowledged for entry in fleet.run_history.runs)
+    assert fleet.network.call_counts["/hold"] - polls <= 2
