Give up no run because of another worker's answer at an address that the worker has left

Cause: a 421 counted against all members of the link, also when the worker's registration had named another address since the call was sent.

Why it works: the answer is dropped if the address differs. Runs of the earlier life are found by the next poll at the new address, which does not list them.

--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -160,13 +160,16 @@
                     return StartResult.UNKNOWN
                 if self._evacuated:
                     return self._withhold_start(any_unanswered)
+                address = self.entry.address
                 try:
                     answer = self._send_start(member, spec, checkpoint, ticket)
                 except FenceRejected:
                     self._listener.on_fenced()
                     return StartResult.UNKNOWN
                 except WorkerReplaced:
-                    self._handle_replaced()
+                    if address != self.entry.address:
+                        continue
+                    self._handle_replaced(address)
                     return StartResult.UNHEALTHY
                 except TransportError as exc:
                     self._listener.on_order_unanswered(self, member, Order.START, exc)
@@ -256,6 +259,7 @@
 
     def _send_stop(self, member: Member) -> bool:
         with self._slots:
+            address = self.entry.address
             try:
                 self._orders.stop(
                     self.entry,
@@ -268,7 +272,7 @@
                 self._listener.on_fenced()
                 return False
             except WorkerReplaced:
-                self._handle_replaced()
+                self._handle_replaced(address)
                 return False
             except TransportError as exc:
                 self._listener.on_order_unanswered(self, member, Order.STOP, exc)
@@ -311,6 +315,7 @@
         hurried = not self.opened and self._failures < FIRST_POLLS
         margin_s = min(LONG_POLL_MARGIN_S * (1 + self._failures), MAX_POLL_MARGIN_S)
         timeout_s = FIRST_POLL_TIMEOUT_S if hurried else wait_s + margin_s
+        address = self.entry.address
         try:
             report = self._orders.hold(self.entry, order, timeout_s=timeout_s)
         except FenceRejected:
@@ -318,7 +323,7 @@
             self._stopped = True
             return
         except WorkerReplaced:
-            self._handle_replaced()
+            self._handle_replaced(address)
             self._clock.sleep(RETRY_S)
             return
         except TransportError:
@@ -414,7 +419,13 @@
         self._incarnation = incarnation
         self._acks.reset()
 
-    def _handle_replaced(self) -> None:
+    def _handle_replaced(self, address: str) -> None:
+        """Handle another worker's answer at an address.
+
+        It tells nothing about a worker that has been registered at another address meanwhile.
+        """
+        if address != self.entry.address:
+            return
         self._remove_all_members(GoneCause.REPLACED)
         self._mark_silent()
 
