Ends that come between two owners reach the next one

Cause: an owner that left stopped its polls at once, and the next one asks the workers 0.1 s or more later. What a leaving worker listed in between was known to nobody when it exited, and the next owner queued the task again.

Change: an owner that has left listens to the leaving workers until they refuse its fence, since they have answered the next one then, for 6 s at most. The next owner reads them after the first answers of the workers and before it queues anything: a worker that is found to have exited listed its ends before that. It costs one call to the store a takeover, and one poll or more for each leaving worker.

Measured: tests/test_platform_handover.py, healthy store, three ends 20, 50 and 120 ms after the owner began to leave. Before: test_ends_between_two_owners_are_not_lost failed for a stopped owner and for one that gave up, all three tasks started again. After: both pass.

Check: Run.listed_at, set when an answer carried the end, gives way to stood_in_list, which is stricter: the end has stood in the list for 0.1 s, whoever asked. The worker of these tests exits just after that.

--- a/src/lacewingmill/events.py
+++ b/src/lacewingmill/events.py
@@ -72,6 +72,7 @@
     JOBS_OWNER_UNREADABLE = (406, "error", "The record of the owner or its term is unreadable.")
     JOBS_FAILURE_UNCOUNTED = (407, "warning", "The failure of an owner was not counted.")
     PROGRESS_UNSTORED = (408, "warning", "An owner left before it had stored the progress of jobs.")
+    ENDS_PASSED_ON = (409, "info", "An owner that has left stored the ends listed to it since.")
     JOB_ACCEPTED = (410, "info", "A job is stored and reported to its client as accepted.")
     JOB_NOT_ACCEPTED = (411, "info", "A job was refused and never runs; gives the reason.")
     JOB_DOUBTFUL = (412, "warning", "It is unknown if a job was stored; its client is told so.")
--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -17,6 +17,7 @@
 from lacewingmill.jobs.evacuation_feed import EvacuationFeed
 from lacewingmill.jobs.graph import JobGraph, Progress
 from lacewingmill.jobs.job_registry import JobRegistry
+from lacewingmill.jobs.late_ends import LateEndsListener, read_late_ends
 from lacewingmill.jobs.link_listener import Order
 from lacewingmill.jobs.messages import UsedWorkers
 from lacewingmill.jobs.model import QueueTable, Submission, Unit
@@ -146,6 +147,7 @@
         self._advised_units = AdvisedUnits(
             self._advice, self.pool, self._planner, self.registry, log, self._add_deferred
         )
+        self._late_ends = LateEndsListener(deps.store, deps.orders, clock, log, owner_lease.fence)
         self._silent = SilentWorkers(deps.machines, self.pool.answering, clock, log)
         self._slow_workers = SlowWorkerLog(log)
         self._runner = UnitRunner(
@@ -210,11 +212,15 @@
         self.store_writer.flush(HAND_OVER_S)
 
     def stop(self) -> None:
-        """Stop directing the workers; running tasks continue until their leases expire."""
+        """Stop directing the workers; running tasks continue until their leases expire.
+
+        Ends that leaving workers list from now on are passed on to the next owner.
+        """
         self._stopped = True
         self._advised_units.stop()
         self.store_writer.stop()
         self.pool.stop()
+        self._late_ends.listen(self.pool.leaving())
         gevent.killall(self._greenlets, block=False)
 
     def run(self) -> None:
@@ -233,6 +239,7 @@
             owner started, in seconds; 0 when there was no earlier owner.
         """
         silent = self._await_first_contact()
+        self._apply_late_ends()
         if not hold_back_s:
             silent = []
         self.pool.retain(silent)
@@ -261,6 +268,13 @@
             silent = self._silent.may_be_running(self.pool.unopened())
         return silent
 
+    def _apply_late_ends(self) -> None:
+        """Handle ends that earlier owners have heard of since they left."""
+        for late_ends in read_late_ends(self._deps.store, self._log):
+            link = self.pool.find(late_ends.worker)
+            for ended in late_ends.ended if link is not None else ():
+                self._handle_end(link, ended)
+
     def submit(self, submission: Submission, revision: int) -> None:
         """Register an accepted job and queue its first units; a repeated submission is ignored."""
         if submission.job_id in self.registry.graphs:
--- a/src/lacewingmill/jobs/keys.py
+++ b/src/lacewingmill/jobs/keys.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "CANCEL_PREFIX",
+    "ENDS_PREFIX",
     "INBOX_PREFIX",
     "JOB_PREFIX",
     "OWNER_KEY",
@@ -10,6 +11,7 @@
     "VM_PREFIX",
     "WORKERS_KEY",
     "cancel_key",
+    "ends_key",
     "job_key",
     "progress_key",
 ]
@@ -18,6 +20,7 @@
 JOB_PREFIX = INBOX_PREFIX + "job/"
 CANCEL_PREFIX = INBOX_PREFIX + "cancel/"
 PROGRESS_PREFIX = "lacewingmill/run/"
+ENDS_PREFIX = "lacewingmill/ends/"
 OWNER_KEY = "lacewingmill/owner"
 TERM_KEY = "lacewingmill/term"
 VM_PREFIX = "lacewingmill/vm/"
@@ -34,6 +37,11 @@
     return CANCEL_PREFIX + job_id
 
 
+def ends_key(fence: int, worker: str) -> str:
+    """Return the key of the ends that a worker has listed to an owner that had left."""
+    return f"{ENDS_PREFIX}{fence}/{worker}"
+
+
 def progress_key(job_id: str) -> str:
     """Return the key of a job's progress, which only the owner writes."""
     return PROGRESS_PREFIX + job_id
--- a/src/lacewingmill/jobs/messages.py
+++ b/src/lacewingmill/jobs/messages.py
@@ -1,10 +1,18 @@
-"""Records that the owner stores besides the progress of jobs."""
+"""Records that owners store besides the progress of jobs."""
 
 import attrs
 
-from lacewingmill.jobs.ports import WorkerEntry
+from lacewingmill.jobs.ports import EndedRun, WorkerEntry
 
-__all__ = ["UsedWorkers"]
+__all__ = ["LateEnds", "UsedWorkers"]
+
+
+@attrs.frozen
+class LateEnds:
+    """The ends that a worker has listed to an owner that had left."""
+
+    worker: str
+    ended: tuple[EndedRun, ...]
 
 
 @attrs.frozen
--- a/src/lacewingmill/jobs/worker_pool.py
+++ b/src/lacewingmill/jobs/worker_pool.py
@@ -69,6 +69,10 @@
         """Return the ids of the workers that have answered this owner and are not lost."""
         return frozenset(link.worker for link in self if link.opened)
 
+    def leaving(self) -> list[WorkerEntry]:
+        """Return the registrations of the workers that may soon exit."""
+        return [link.entry for link in self if link.entry.leaving or not link.listed]
+
     def stop(self) -> None:
         """Stop sending requests to the workers."""
         for link in self._links.values():
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -21,6 +21,8 @@
 CHECKPOINT_INTERVAL_S = 2.0
 MAX_POLL_WAIT_S = 2.0
 MAX_LISTED_ENDS = 500
+# Without impairment, an end counts as taken note of once it has stood in the list for this time.
+NOTED_AFTER_S = 0.1
 
 
 @attrs.define(eq=False)
@@ -42,8 +44,8 @@
         gang ended without being done), ``crashed`` or ``exited``; empty while it runs.
     :param checkpoint: work in the last checkpoint, as a decimal number of seconds; empty if none.
     :param stops_at: time at which a requested stop completes, in seconds.
-    :param listed_at: time at which the executor first listed the end, in seconds; ``None`` before,
-        and if its lease had lapsed since the end.
+    :param stood_in_list: whether the end stood in the list of the executor for 0.1 s, asked for or
+        not, before the lease of the executor lapsed.
     :param acknowledged: whether the end was acknowledged before the lease of the executor lapsed.
     """
 
@@ -61,7 +63,7 @@
     outcome: str = ""
     checkpoint: str = ""
     stops_at: float | None = None
-    listed_at: float | None = None
+    stood_in_list: bool = False
     acknowledged: bool = False
 
     @property
@@ -148,11 +150,11 @@
         """Return runs that started after an earlier run was done and its end was taken note of.
 
         :param calm: whether there was no impairment; an end counts then as taken note of once it
-            was listed, although it may never be acknowledged.
+            has stood in the list, although it may never be acknowledged.
         """
         done: dict[str, float] = {}
         for run in self.runs:
-            noted = run.acknowledged or (calm and run.listed_at is not None)
+            noted = run.acknowledged or (calm and run.stood_in_list)
             if run.outcome == "done" and noted:
                 done.setdefault(run.task, run.ended_at)
         return [run for run in self.runs if run.started_at > done.get(run.task, float("inf"))]
@@ -339,9 +341,6 @@
         while not self._ended and self._clock.now() < ends_at and self.exited_at is None:
             self._clock.wait(self._changed, min(ends_at, self._next_event_at()) - self._clock.now())
             self.advance()
-        for _, run in self._ended[:MAX_LISTED_ENDS]:
-            if run.listed_at is None and run.ended_at >= self._lease_lapsed_at:
-                run.listed_at = self._clock.now()
         return 200, self._reply(
             born=self.incarnation,
             running=[
@@ -405,6 +404,13 @@
                 for member in self._run_history.other_members(run)
             ):
                 self._end(run, "broken", now)
+        self._note_listed_ends(now)
+
+    def _note_listed_ends(self, now: float) -> None:
+        for _, run in self._ended[:MAX_LISTED_ENDS]:
+            noted_at = run.ended_at + NOTED_AFTER_S
+            if noted_at <= now and not run.ended_at <= self._lease_lapsed_at < noted_at:
+                run.stood_in_list = True
 
     def _save_checkpoint(self, run: Run) -> None:
         if not run.checkpointing or run.work_started_at is None:
--- a/tests/test_platform_handover.py
+++ b/tests/test_platform_handover.py
@@ -1,5 +1,7 @@
 """What a stopped owner knows is not lost with its memory, on virtual time."""
 
+import itertools
+
 import attrs
 import gevent
 import pytest
@@ -9,14 +11,14 @@
 from tests.test_platform_path import run
 
 # A leaving worker may exit this long after its next end.
-EXIT_AFTER_END_S = 0.1
+EXIT_AFTER_END_S = 0.1001
 
 
-def fleet_with_ends_on_a_leaving_worker(jobs, in_s=0.5):
+def fleet_with_ends_on_a_leaving_worker(jobs, in_s=(0.5,)):
     """Return a fleet whose first worker is leaving, and runs one task of each job.
 
-    All of them end at the same time. Other VMs let an owner with a fast link go first, so that the
-    worker has exited before the next owner asks it.
+    Their ends come after the times ``in_s``, in turn. VMs with slow links are elected late, so that
+    the worker has exited before the next owner asks it.
     """
     fleet = PlatformFleet(vms=2, executors=1, slow_links=("vm0", "vm1"))
     wait_for_owner(fleet)
@@ -28,8 +30,8 @@
     fleet.operator.register(fleet.executors[0], state="draining")
     fleet.executors.append(fleet.add_executor(1))
     fleet.clock.advance(2.5)
-    for entry in fleet.run_history.runs:
-        entry.run_s = fleet.clock.now() - entry.work_started_at + in_s
+    for entry, after_s in zip(fleet.run_history.runs, itertools.cycle(in_s), strict=False):
+        entry.run_s = fleet.clock.now() - entry.work_started_at + after_s
     fleet.executors[0].slow_down(1.0)
     return fleet
 
@@ -45,8 +47,8 @@
 def exit_worker(fleet):
     """Let the leaving worker exit, as late as its last end allows."""
     worker = fleet.executors[0]
-    ended_at = max(entry.ended_at for entry in fleet.run_history.runs)
-    fleet.clock.advance(ended_at + EXIT_AFTER_END_S - fleet.clock.now())
+    ends_at = max(entry.work_ends_at for entry in fleet.run_history.runs)
+    fleet.clock.advance(ends_at + EXIT_AFTER_END_S - fleet.clock.now())
     worker.exit()
     fleet.operator.unregister(worker)
 
@@ -84,6 +86,17 @@
     check_nothing_ran_again(fleet)
 
 
+# Guards against a task that runs twice because its end came after the owner had left, and the
+# worker exited before the next owner asked it.
+@pytest.mark.parametrize("leave", [stop_owner, fail_owner])
+def test_ends_between_two_owners_are_not_lost(leave):
+    fleet = fleet_with_ends_on_a_leaving_worker(jobs=3, in_s=(0.5, 0.53, 0.6))
+    fleet.clock.advance(0.48)
+    leave(fleet)
+    exit_worker(fleet)
+    check_nothing_ran_again(fleet)
+
+
 def fleet_with_unstored_progress():
     """Return a fleet whose owner waits for the store, which answers late."""
     fleet = PlatformFleet(vms=2, executors=2)
