A VM that is stopped during an election does not stay in office

Cause: the elector looked whether the VM may be elected before it waited for the store, and after owners that failed for up to 4 s more. A VM whose planned stop began in between took office after its hand-over, which came to nothing. It directed until its process ended and lost what it knew, and the next owner waited for its lease to lapse.

Change: the elector looks again before it claims the office, and gives a claim up that was under way.

Measured: test_a_vm_that_is_stopped_during_an_election_does_not_stay_in_office, 40 moments of the stop, 0.04 s apart, with a store that answers in 50 ms.

--- a/src/lacewingmill/jobs/election.py
+++ b/src/lacewingmill/jobs/election.py
@@ -303,8 +303,13 @@
             self._clock.sleep(failure_delay_s(previous.failures))
         granted_at = self._clock.now()
         lease = self._store.grant(LEASE_S)
+        if not self.eligible:  # a planned stop has begun
+            return
         owner = attrs.evolve(self._candidate, term=previous.number + 1, lease=lease.lease)
         fence = self._claim(owner, term_record)
+        if not self.eligible:
+            self.end_lease(owner)
+            return
         valid_until = granted_at + lease.ttl_s - CLOCK_MARGIN_S
         predecessor_valid_s = LEASE_S if previous.replaced else 0.0
         self.owner_lease = OwnerLease(
--- a/tests/test_platform_handover.py
+++ b/tests/test_platform_handover.py
@@ -6,7 +6,10 @@
 import gevent
 import pytest
 
+from lacewingmill.codec import decode
 from lacewingmill.jobs.director import HAND_OVER_S
+from lacewingmill.jobs.election import JobOwner
+from lacewingmill.jobs.keys import OWNER_KEY
 from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
@@ -134,3 +137,20 @@
     stop_owner(fleet)
     fleet.clock.advance(HAND_OVER_S + 0.01)
     assert stopped.director is None
+
+
+# Guards against a VM that takes office after its planned stop has begun: it never hands over, and
+# when its process ends, all that it knows is lost.
+def test_a_vm_that_is_stopped_during_an_election_does_not_stay_in_office():
+    for step_number in range(40):
+        delay_s = 2.0 + 0.04 * step_number
+        fleet = PlatformFleet(vms=2, executors=1)
+        fleet.kill(fleet.owner)
+        fleet.kv.faults.slow_s = 0.05
+        [vm] = fleet.vms.values()
+        fleet.clock.advance(delay_s)
+        vm.begin_stop()
+        fleet.clock.advance(1.2)
+        assert vm.director is None, delay_s
+        record = fleet.kv._items.get(OWNER_KEY)
+        assert record is None or decode(record.value, JobOwner).vm not in fleet.vms, delay_s
