--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -231,6 +231,7 @@
         for run in self._running.values():
             run.ended_at, run.outcome = self._clock.now(), "exited"
         self._running.clear()
+        self._ended.clear()
         self.exited_at = self._clock.now()
         self._wake()
 
