--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -17,6 +17,7 @@
 from lacewingmill.jobs.evacuation_feed import EvacuationFeed
 from lacewingmill.jobs.graph import JobGraph, Progress
 from lacewingmill.jobs.job_registry import JobRegistry
+from lacewingmill.jobs.late_ends import LateEndsListener, read_late_ends
 from lacewingmill.jobs.link_listener import Order
 from lacewingmill.jobs.messages import UsedWorkers
 from lacewingmill.jobs.model import QueueTable, Submission, Unit
@@ -64,6 +65,9 @@
 FIRST_CONTACT_POLL_S = 0.02
 DEFERRED_RETRY_S = 1.0
 MAX_NAMED_WORKERS = 20  # in a log line
+# How long an owner that leaves in good order waits for its writes, which take milliseconds. Nothing
+# is started meanwhile, and urgent jobs are due within a second or two.
+HAND_OVER_S = 0.3
 
 
 @attrs.frozen
@@ -143,6 +147,7 @@
         self._advised_units = AdvisedUnits(
             self._advice, self.pool, self._planner, self.registry, log, self._add_deferred
         )
+        self._late_ends = LateEndsListener(deps.store, deps.orders, clock, log, owner_lease.fence)
         self._silent = SilentWorkers(deps.machines, self.pool.answering, clock, log)
         self._slow_workers = SlowWorkerLog(log)
         self._runner = UnitRunner(
@@ -197,12 +202,25 @@
         """The digest of the load; ``None`` before the first one."""
         return self._digests.digest(self._clock.now())
 
+    def prepare_hand_over(self) -> None:
+        """Start nothing more, and store what the workers have told.
+
+        A worker may have exited before the next owner can ask it, and the ends that it has listed
+        would be known to nobody.
+        """
+        self.owner_lease.handing_over = True
+        self.store_writer.flush(HAND_OVER_S)
+
     def stop(self) -> None:
-        """Stop directing the workers; running tasks continue until their leases expire."""
+        """Stop directing the workers; running tasks continue until their leases expire.
+
+        Ends that leaving workers list from now on are passed on to the next owner.
+        """
         self._stopped = True
         self._advised_units.stop()
         self.store_writer.stop()
         self.pool.stop()
+        self._late_ends.listen(self.pool.leaving())
         gevent.killall(self._greenlets, block=False)
 
     def run(self) -> None:
@@ -211,7 +229,7 @@
         while not self._stopped:
             self._planner.wake.wait()
             self._planner.wake.clear()
-            if self.recovered and self.owner_lease.valid and not self._stopped:
+            if self.recovered and self.owner_lease.may_start and not self._stopped:
                 self._planner.plan()
 
     def take_over(self, hold_back_s: float) -> None:
@@ -221,6 +239,7 @@
             owner started, in seconds; 0 when there was no earlier owner.
         """
         silent = self._await_first_contact()
+        self._apply_late_ends()
         if not hold_back_s:
             silent = []
         self.pool.retain(silent)
@@ -249,6 +268,13 @@
             silent = self._silent.may_be_running(self.pool.unopened())
         return silent
 
+    def _apply_late_ends(self) -> None:
+        """Handle ends that earlier owners have heard of since they left."""
+        for late_ends in read_late_ends(self._deps.store, self._log):
+            link = self.pool.find(late_ends.worker)
+            for ended in late_ends.ended if link is not None else ():
+                self._handle_end(link, ended)
+
     def submit(self, submission: Submission, revision: int) -> None:
         """Register an accepted job and queue its first units; a repeated submission is ignored."""
         if submission.job_id in self.registry.graphs:
@@ -346,7 +372,11 @@
         """Stop directing after an unexpected error, because the state in memory may be wrong."""
         if not self._stopped:
             self._stopped = True
-            gevent.spawn(self._resign)
+            gevent.spawn(self._give_up)
+
+    def _give_up(self) -> None:
+        self.prepare_hand_over()
+        self._resign()
 
     def _services(self) -> frozenset[str]:
         """Return the services that the configuration names, and those of earlier accepted jobs."""
