A job that a replaced owner may have started after the next one's fence is held back

Callers saw (TWICE): two runs of one task at once, or a start after an end `done` that was acknowledged.

Cause: a new owner took it that no earlier owner has started a job accepted after its own fence. An owner that was replaced and has not noticed accepts jobs, reads them from the store and starts them for up to 2.5 s on workers that the next owner has not reached; that one held nothing back and started them elsewhere.

Change: while a replaced owner may act, and until a read of the jobs that began after it, the next owner holds back the jobs that it reads from the store, like earlier ones. Jobs that a VM announced to it start at once: an owner starts what it has read from the store only if a read of the owner's key afterwards shows it in office, so the replaced one does not start those. That costs a read at a takeover, and one for a poll that finds unknown jobs, at most one a second.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -160,7 +160,7 @@
             self.on_failed,
         )
         self._takeover = Takeover(
-            owner_lease.fence, clock, log, self.registry, self._planner, self._runner, self._queue
+            owner_lease, clock, log, self.registry, self._planner, self._runner, self._queue
         )
 
     @property
@@ -249,13 +249,27 @@
             silent = self._silent.may_be_running(self.pool.unopened())
         return silent
 
-    def submit(self, submission: Submission, revision: int) -> None:
-        """Register an accepted job and queue its first units; a repeated submission is ignored."""
+    def submit(self, submission: Submission, revision: int, *, announced: bool = False) -> None:
+        """Register an accepted job and queue its first units; a repeated submission is ignored.
+
+        :param announced: whether the VM that accepted the job has announced it to this owner.
+        """
         if submission.job_id in self.registry.graphs:
             return
+        if announced:
+            self._takeover.record_announced(submission.job_id)
         graph = self.registry.add(submission, revision)
         self._log.emit(LogEvent.JOB_TAKEN, job=submission.job_id, queue=submission.queue)
-        self._queue_ready_units(graph)
+        if self.recovered:
+            self._takeover.adopt_accepted(graph)
+
+    def on_jobs_read(self, started_at: float, revision: int) -> None:
+        """Handle a complete read of the accepted jobs from the store, after they were submitted.
+
+        :param started_at: when the read began, in seconds.
+        :param revision: the jobs that were accepted at later revisions may have been missed.
+        """
+        self._takeover.on_jobs_read(started_at, revision)
 
     def cancel(self, job_id: str) -> Event | None:
         """Cancel a job, unless it has ended.
--- a/src/lacewingmill/jobs/election.py
+++ b/src/lacewingmill/jobs/election.py
@@ -106,6 +106,11 @@
     failures: int = 0
     acquired_at: float = 0.0
 
+    @property
+    def predecessor_ends_at(self) -> float:
+        """Time from which the previous owner certainly sends no orders, in seconds."""
+        return self.acquired_at + self.predecessor_valid_s
+
     @property
     def valid(self) -> bool:
         """Whether orders may be sent."""
--- a/src/lacewingmill/jobs/inbox.py
+++ b/src/lacewingmill/jobs/inbox.py
@@ -88,6 +88,8 @@
                     self._director.registry.add(submission, record.revision, known)
         for record in records:
             self._apply_cancellation(record.key)
+        if not self._is_owner():
+            self._director.on_fenced()
 
     def follow(self) -> None:
         """Poll for jobs and cancellations, and delete expired jobs, until killed."""
@@ -115,22 +117,39 @@
 
     def _poll(self) -> None:
         """Apply all changes since the last poll, in as many calls as the store needs for them."""
+        started_at = self._clock.now()
         truncated = True
         while truncated:
             try:
                 changes = self._store.watch(INBOX_PREFIX, after=self._revision, wait_s=0.0)
             except (HistoryLost, StoreUnavailable):
                 # The store may leave watches unanswered while it answers everything else.
-                records, truncated = self._scan(), False
+                records, revision = self._store.scan(INBOX_PREFIX)
+                truncated = False
             else:
-                self._revision = changes.revision
                 records = tuple(c.record for c in changes.changes if c.record is not None)
-                truncated = changes.truncated
+                revision, truncated = changes.revision, changes.truncated
+            if self._any_unknown(records) and not self._is_owner():
+                self._director.on_fenced()
+                return
+            self._revision = revision
             self._apply_records(records)
+        self._director.on_jobs_read(started_at, self._revision)
 
-    def _scan(self) -> tuple[Record, ...]:
-        records, self._revision = self._store.scan(INBOX_PREFIX)
-        return records
+    def _any_unknown(self, records: tuple[Record, ...]) -> bool:
+        """Whether there are jobs that the director does not know."""
+        known = self._director.registry.graphs
+        jobs = [record.key for record in records if record.key.startswith(JOB_PREFIX)]
+        return any(key.removeprefix(JOB_PREFIX) not in known for key in jobs)
+
+    def _is_owner(self) -> bool:
+        """Whether the director's VM is still the owner.
+
+        It may have been replaced unnoticed, and the next owner relies on it not to start jobs that
+        it reads from the store; see :class:`Takeover`.
+        """
+        record = self._store.get(OWNER_KEY)
+        return record is not None and record.revision == self._director.owner_lease.fence
 
     def _apply_records(self, records: tuple[Record, ...]) -> None:
         for record in records:
--- a/src/lacewingmill/jobs/owner_answers.py
+++ b/src/lacewingmill/jobs/owner_answers.py
@@ -44,7 +44,7 @@
 
 @answer_as_owner.register
 def _(request: AcceptedJob, director: Director, clock: Clock) -> PeerReply:
-    director.submit(request.submission, request.revision)
+    director.submit(request.submission, request.revision, announced=True)
     return PeerReply()
 
 
--- a/src/lacewingmill/jobs/takeover.py
+++ b/src/lacewingmill/jobs/takeover.py
@@ -1,10 +1,12 @@
 """Recovery by a new owner: adopts running units and holds back those that may still run."""
 
+import math
 from collections.abc import Callable
 
 import gevent
 
 from lacewingmill.events import EventLog
+from lacewingmill.jobs.election import OwnerLease
 from lacewingmill.jobs.graph import JobGraph
 from lacewingmill.jobs.job_registry import JobRegistry
 from lacewingmill.jobs.model import TaskId, Unit
@@ -28,14 +30,17 @@
     A unit of which no run was found is held back for as long as a worker that does not answer may
     still run it, whether its step is ready at the takeover or becomes ready later.
 
-    :param fence: the owner's fencing token, a store revision; no earlier owner has started a job
-        that was accepted at a later one.
+    No earlier owner has started a job that was accepted at a later store revision than this owner's
+    fence, except for one that was replaced and still runs: clients and other VMs may hand it jobs.
+    What it reads from the store it starts only as the owner (see :class:`Inbox`), so it has not
+    started jobs that were announced to this owner.
+
     :param queue: called with each unit that must wait for workers.
     """
 
     def __init__(
         self,
-        fence: int,
+        owner_lease: OwnerLease,
         clock: Clock,
         log: EventLog,
         registry: JobRegistry,
@@ -43,7 +48,11 @@
         runner: UnitRunner,
         queue: Callable[[Unit], None],
     ):
-        self._fence = fence
+        self._predecessor_ends_at = owner_lease.predecessor_ends_at
+        # The revision from which jobs were accepted too late for an earlier owner to start them.
+        replaced = owner_lease.predecessor_valid_s > 0
+        self._own_since = math.inf if replaced else owner_lease.fence
+        self._own_jobs: set[str] = set()
         self._clock = clock
         self._log = log
         self._registry = registry
@@ -74,11 +83,28 @@
         self._released = not unconfirmed_until
         self._unconfirmed_until = unconfirmed_until
         for graph in self._registry.graphs.values():
-            earlier = graph.revision < self._fence
             with contain_errors(self._log, job=graph.submission.job_id):
-                self._adopt_job(graph, unconfirmed_until if earlier else 0.0)
+                self._adopt_job(graph)
         self._listed_runs.clear()
 
+    def on_jobs_read(self, started_at: float, revision: int) -> None:
+        """Handle a complete read of the accepted jobs from the store.
+
+        :param started_at: when the read began, in seconds.
+        :param revision: the jobs that were accepted at later revisions may have been missed.
+        """
+        if self._own_since == math.inf and started_at >= self._predecessor_ends_at:
+            self._own_since = revision + 1
+
+    def record_announced(self, job_id: str) -> None:
+        """Record a job that the VM which accepted it has announced to this owner, and no other."""
+        if not self._released:
+            self._own_jobs.add(job_id)
+
+    def adopt_accepted(self, graph: JobGraph) -> None:
+        """Hold back or queue the units of a job that became known after recovery."""
+        self._adopt_job(graph)
+
     def hold_back(self, unit: Unit) -> bool:
         """Hold back a unit that has become ready, if a silent worker may run it.
 
@@ -87,7 +113,7 @@
         :return: whether the unit is held back.
         """
         graph = self._registry.graphs[unit.job_id]
-        if self._released or graph.revision >= self._fence or not graph.maybe_started_earlier(unit):
+        if not self._is_doubtful(graph) or not graph.maybe_started_earlier(unit):
             return False
         self._held_back[unit.unit_id] = unit
         return True
@@ -95,6 +121,7 @@
     def release(self) -> list[Unit]:
         """Return the held-back units, once no silent worker can run a task of an earlier owner."""
         self._released = True
+        self._own_jobs.clear()
         self._unconfirmed_until = 0.0
         units, self._held_back = list(self._held_back.values()), {}
         return units
@@ -130,7 +157,14 @@
         for ready in graph.take_ready_units(self._clock.wall()):
             self._held_back[ready.unit_id] = ready
 
-    def _adopt_job(self, graph: JobGraph, unconfirmed_until: float) -> None:
+    def _is_doubtful(self, graph: JobGraph) -> bool:
+        """Whether a worker that does not answer may run tasks of a job for an earlier owner."""
+        if self._released or graph.submission.job_id in self._own_jobs:
+            return False
+        return graph.revision < self._own_since
+
+    def _adopt_job(self, graph: JobGraph) -> None:
+        unconfirmed_until = self._unconfirmed_until if self._is_doubtful(graph) else 0.0
         found = self._listed_runs.get(graph.submission.job_id, {})
         if graph.state.final:
             for task, (link, listed) in found.items():
