A run or an end of a job that is not known is kept until the store shows whether the job exists

Callers saw (TWICE): a task started again after its end `done` was acknowledged, or two runs at once.

Cause: a new owner hears of jobs up to a second after they are stored, and longer while the store leaves its watches unanswered. A replaced owner that has not noticed may have started such a job. The new owner took "not known here" for "does not exist" in three places: it acknowledged the end of the run unseen; it stopped the run as a stray and started the job without waiting for that run's end; it recorded a run that was listed before recovery and dropped it at the adoption, so that nobody heard of it any more.

Change: UnknownRuns keeps such runs and ends. When the job becomes known, its runs are adopted together, then its ends processed; the ends are acknowledged once their effect is stored. After a complete read of the jobs that began after they were listed, the job does not exist: ends are acknowledged, runs stopped. A job is stored before any of its runs is listed, so that read finds it. It is the inbox's own poll, once a second: the number of reads does not depend on what workers list. Links to workers with such runs stay.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -19,7 +19,7 @@
 from lacewingmill.jobs.job_registry import JobRegistry
 from lacewingmill.jobs.link_listener import Order
 from lacewingmill.jobs.messages import UsedWorkers
-from lacewingmill.jobs.model import QueueTable, Submission, Unit
+from lacewingmill.jobs.model import QueueTable, Submission, TaskId, Unit
 from lacewingmill.jobs.ports import (
     Advisor,
     EndedRun,
@@ -39,6 +39,7 @@
 from lacewingmill.jobs.unit_planner import UnitPlanner
 from lacewingmill.jobs.unit_runner import UnitRunner
 from lacewingmill.jobs.units import GoneCause, Member
+from lacewingmill.jobs.unknown_runs import UnknownRuns
 from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.jobs.worker_pool import WorkerPool
 from lacewingmill.load.digest import AdmissionDigest
@@ -137,8 +138,15 @@
         self._planner = UnitPlanner(
             clock, log, deps.table, evacuations, self._execute_contained, deps.limits
         )
+        self._unknown = UnknownRuns(clock, self._handle_end)
         self.pool = WorkerPool(
-            deps.orders, self.store_writer, self._planner, log, self._services, self._connect
+            deps.orders,
+            self.store_writer,
+            self._planner,
+            log,
+            self._services,
+            self._connect,
+            self._unknown.concerns,
         )
         self._advised_units = AdvisedUnits(
             self._advice, self.pool, self._planner, self.registry, log, self._add_deferred
@@ -260,8 +268,11 @@
             self._takeover.record_announced(submission.job_id)
         graph = self.registry.add(submission, revision)
         self._log.emit(LogEvent.JOB_TAKEN, job=submission.job_id, queue=submission.queue)
+        for link, listed in self._unknown.take_runs(submission.job_id):
+            self._takeover.record_run(link, listed)
         if self.recovered:
             self._takeover.adopt_accepted(graph)
+        self._unknown.settle_ends(submission.job_id)
 
     def on_jobs_read(self, started_at: float, revision: int) -> None:
         """Handle a complete read of the accepted jobs from the store, after they were submitted.
@@ -270,6 +281,8 @@
         :param revision: the jobs that were accepted at later revisions may have been missed.
         """
         self._takeover.on_jobs_read(started_at, revision)
+        for link, listed in self._unknown.settle_deleted(started_at):
+            self._stop_stray(link, listed)
 
     def cancel(self, job_id: str) -> Event | None:
         """Cancel a job, unless it has ended.
@@ -300,7 +313,14 @@
         for listed in report.running:
             with contain_errors(self._log, worker=link.worker, task=str(listed.task)):
                 self._handle_running(link, listed)
-        writes = [self._handle_end(link, ended) for ended in report.ended]
+        writes = [
+            (
+                self._handle_end(link, ended)
+                if self._is_known(ended.task)
+                else self._unknown.add_end(link, ended)
+            )
+            for ended in report.ended
+        ]
         return [written for written in writes if written is not None]
 
     def _feed_progress(self, link: WorkerLink, report: HoldReport) -> None:
@@ -390,6 +410,10 @@
         else:
             self.registry.on_commit(key, message)
 
+    def _is_known(self, task: TaskId) -> bool:
+        """Whether the job of a task is known; it may be stored nevertheless if it is not."""
+        return task.job_id in self.registry.graphs
+
     def _handle_end(self, link: WorkerLink, ended: EndedRun) -> Event | None:
         """Process the end of a run; one whose handling fails is never acknowledged."""
         with contain_errors(self._log, worker=link.worker, task=str(ended.task)):
@@ -402,6 +426,10 @@
         member = link.members.get(listed.task)
         if member is not None and member.run == listed.run:
             return
+        if not self._is_known(listed.task):
+            if (listed.task, listed.run) not in link.orphans:
+                self._unknown.add_run(link, listed)
+            return
         if not self.recovered:
             self._takeover.record_run(link, listed)
             return
@@ -409,6 +437,9 @@
             return
         if (listed.task, listed.run) in link.orphans:
             return
+        self._stop_stray(link, listed)
+
+    def _stop_stray(self, link: WorkerLink, listed: ListedRun) -> None:
         self._log.emit(
             LogEvent.STRAY_STOPPED, worker=link.worker, task=str(listed.task), run=listed.run
         )
--- a/src/lacewingmill/jobs/takeover.py
+++ b/src/lacewingmill/jobs/takeover.py
@@ -65,7 +65,7 @@
         self._unconfirmed_until = 0.0
 
     def record_run(self, link: WorkerLink, listed: ListedRun) -> None:
-        """Record a run that a worker lists before planning begins."""
+        """Record a run that a worker lists before planning begins, or before its job is known."""
         self._listed_runs.setdefault(listed.task.job_id, {})[listed.task] = (link, listed)
 
     @property
@@ -102,8 +102,11 @@
             self._own_jobs.add(job_id)
 
     def adopt_accepted(self, graph: JobGraph) -> None:
-        """Hold back or queue the units of a job that became known after recovery."""
+        """Adopt, hold back or queue the units of a job that became known after recovery."""
+        if graph.submission.job_id in self._listed_runs:
+            self._planner.flush()
         self._adopt_job(graph)
+        self._listed_runs.pop(graph.submission.job_id, None)
 
     def hold_back(self, unit: Unit) -> bool:
         """Hold back a unit that has become ready, if a silent worker may run it.
--- a/src/lacewingmill/jobs/worker_pool.py
+++ b/src/lacewingmill/jobs/worker_pool.py
@@ -31,6 +31,7 @@
 
     :param services: returns the services whose workers may be used.
     :param connect: makes a link to a worker.
+    :param runs_unknown: returns whether a worker runs tasks of jobs that the owner does not know.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         log: EventLog,
         services: Callable[[], frozenset[str]],
         connect: Callable[[WorkerEntry], WorkerLink],
+        runs_unknown: Callable[[WorkerLink], bool],
     ):
         self._orders = orders
         self._store_writer = store_writer
@@ -48,6 +50,7 @@
         self._log = log
         self._services = services
         self._connect = connect
+        self._runs_unknown = runs_unknown
         self._links: dict[str, WorkerLink] = {}
         self._stored_workers: set[str] = set()
         self._awaiting_store: list[WorkerLink] = []
@@ -182,6 +185,8 @@
         """Remove the link to a worker that is not listed and on which nothing can run."""
         if not link.idle or self._retained is None or link in self._retained:
             return
+        if self._runs_unknown(link):  # they may be adopted
+            return
         link.stop()
         del self._links[link.worker]
         self._store_used_workers()
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -4,8 +4,9 @@
 import pytest
 
 from lacewingmill.exceptions import LeaseEnded
-from lacewingmill.jobs.keys import OWNER_KEY
-from standins.platform.fleet import PlatformFleet, job_id, step
+from lacewingmill.jobs.keys import OWNER_KEY, job_key
+from standins.platform import executors
+from standins.platform.fleet import PlatformFleet, job_id, step, wait_for_owner
 from tests.test_platform_path import run
 
 
@@ -120,3 +121,87 @@
     run(fleet, fleet.submit, owner, "ordinary", job_id(1), steps, "run_s=8", seconds=2.0)
     replaced.reconnect()
     assert replaced.finish() == ["done"]
+
+
+# Guards against acknowledging the end of a job that is not known yet, and starting the job later.
+@pytest.mark.parametrize("polled_late", [False, True])
+@pytest.mark.parametrize("run_s", [0.3, 0.8])
+def test_an_end_of_a_job_that_is_not_known_yet_counts_once_it_is(run_s, polled_late):
+    replaced = ReplacedOwner()
+    replaced.fleet.kv.faults.deaf = polled_late
+    replaced.start(f"run_s={run_s}")
+    replaced.reconnect()
+    replaced.fleet.clock.advance(4.0)
+    replaced.fleet.kv.faults.deaf = False
+    assert replaced.finish() == ["done"]
+
+
+# Guards against forgetting a run that a worker lists during a takeover, of a job not known yet.
+@pytest.mark.parametrize("run_s", [3.0, 8.0])
+def test_a_run_listed_in_a_takeover_before_its_job_is_known_continues(run_s):
+    replaced = ReplacedOwner()
+    replaced.start(f"run_s={run_s}")
+    replaced.reconnect()
+    assert replaced.finish() == ["done"]
+
+
+# Guards against stopping a run of a job that is not known yet, and starting the job elsewhere
+# before the run has ended.
+def test_a_run_listed_before_its_job_is_known_continues(monkeypatch):
+    monkeypatch.setattr(executors, "STOP_DURATION_S", 0.9)
+    replaced = ReplacedOwner()
+    replaced.fleet.kv.faults.deaf = True
+    replaced.start("run_s=8")
+    replaced.fleet.clock.advance(0.4)
+    replaced.reconnect()
+    replaced.fleet.clock.advance(4.0)
+    replaced.fleet.kv.faults.deaf = False
+    assert replaced.finish() == ["done"]
+
+
+# Guards against closing a gang because its members are adopted one by one.
+def test_a_gang_listed_before_its_job_is_known_continues():
+    replaced = ReplacedOwner(racks=3)
+    replaced.fleet.kv.faults.deaf = True
+    replaced.start("run_s=8", count=2, gpu=4, gang=True)
+    replaced.fleet.clock.advance(0.4)
+    replaced.reconnect()
+    replaced.fleet.clock.advance(4.0)
+    replaced.fleet.kv.faults.deaf = False
+    assert replaced.finish() == ["done", "done"]
+
+
+# Guards against runs and ends of deleted jobs that are never stopped or acknowledged, and against
+# a read of the store for each of them.
+def test_runs_and_ends_of_a_deleted_job_are_stopped_and_acknowledged_soon():
+    fleet = PlatformFleet(vms=3)
+    steps = [step(count=24), step(count=8)]
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), steps, "run_s=30", seconds=1.0)
+    history = fleet.run_history.runs
+    assert len(history) == 32
+    fleet.kill(fleet.owner)
+    fleet.kv.write(job_key(job_id(1)), None)
+    for entry in history[:24]:
+        entry.run_s = 1.2
+    wait_for_owner(fleet)
+    reads = sum(fleet.kv.calls.get(name, 0) for name in ("kv-key", "kv-range"))
+    fleet.clock.advance(3.5)
+    assert sorted(entry.outcome for entry in history) == ["done"] * 24 + ["stopped"] * 8
+    assert all(entry.acknowledged for entry in history)
+    assert sum(fleet.kv.calls.get(name, 0) for name in ("kv-key", "kv-range")) < reads + 8
+
+
+# Guards against taking a job for deleted while the store does not say so.
+def test_a_run_is_not_stopped_while_the_store_does_not_answer():
+    fleet = PlatformFleet(vms=3)
+    run(fleet, fleet.submit, "vm0", "ordinary", job_id(1), [step()], "run_s=30", seconds=1.0)
+    fleet.kill(fleet.owner)
+    fleet.kv.write(job_key(job_id(1)), None)
+    wait_for_owner(fleet)
+    fleet.kv.faults.down = True
+    fleet.clock.advance(1.5)
+    [entry] = fleet.run_history.runs
+    assert entry.outcome == ""
+    fleet.kv.faults.down = False
+    fleet.clock.advance(2.5)
+    assert entry.outcome == "stopped"
