--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -20,7 +20,7 @@
 from lacewingmill.jobs.late_ends import LateEndsListener, read_late_ends
 from lacewingmill.jobs.link_listener import Order
 from lacewingmill.jobs.messages import UsedWorkers
-from lacewingmill.jobs.model import QueueTable, Submission, Unit
+from lacewingmill.jobs.model import QueueTable, Submission, TaskId, Unit
 from lacewingmill.jobs.ports import (
     Advisor,
     EndedRun,
@@ -40,6 +40,7 @@
 from lacewingmill.jobs.unit_planner import UnitPlanner
 from lacewingmill.jobs.unit_runner import UnitRunner
 from lacewingmill.jobs.units import GoneCause, Member
+from lacewingmill.jobs.unknown_runs import UnknownRuns
 from lacewingmill.jobs.worker_link import WorkerLink
 from lacewingmill.jobs.worker_pool import WorkerPool
 from lacewingmill.load.digest import AdmissionDigest
@@ -141,8 +142,15 @@
         self._planner = UnitPlanner(
             clock, log, deps.table, evacuations, self._execute_contained, deps.limits
         )
+        self._unknown = UnknownRuns(clock, self._handle_end)
         self.pool = WorkerPool(
-            deps.orders, self.store_writer, self._planner, log, self._services, self._connect
+            deps.orders,
+            self.store_writer,
+            self._planner,
+            log,
+            self._services,
+            self._connect,
+            self._unknown.concerns,
         )
         self._advised_units = AdvisedUnits(
             self._advice, self.pool, self._planner, self.registry, log, self._add_deferred
@@ -165,7 +173,7 @@
             self.on_failed,
         )
         self._takeover = Takeover(
-            owner_lease.fence, clock, log, self.registry, self._planner, self._runner, self._queue
+            owner_lease, clock, log, self.registry, self._planner, self._runner, self._queue
         )
 
     @property
@@ -273,15 +281,34 @@
         for late_ends in read_late_ends(self._deps.store, self._log):
             link = self.pool.find(late_ends.worker)
             for ended in late_ends.ended if link is not None else ():
-                self._handle_end(link, ended)
+                self._accept_end(link, ended)
+
+    def submit(self, submission: Submission, revision: int, *, announced: bool = False) -> None:
+        """Register an accepted job and queue its first units; a repeated submission is ignored.
 
-    def submit(self, submission: Submission, revision: int) -> None:
-        """Register an accepted job and queue its first units; a repeated submission is ignored."""
+        :param announced: whether the VM that accepted the job has announced it to this owner.
+        """
         if submission.job_id in self.registry.graphs:
             return
+        if announced:
+            self._takeover.record_announced(submission.job_id)
         graph = self.registry.add(submission, revision)
         self._log.emit(LogEvent.JOB_TAKEN, job=submission.job_id, queue=submission.queue)
-        self._queue_ready_units(graph)
+        for link, listed in self._unknown.take_runs(submission.job_id):
+            self._takeover.record_run(link, listed)
+        if self.recovered:
+            self._takeover.adopt_accepted(graph)
+        self._unknown.settle_ends(submission.job_id)
+
+    def on_jobs_read(self, started_at: float, revision: int) -> None:
+        """Handle a complete read of the accepted jobs from the store, after they were submitted.
+
+        :param started_at: when the read began, in seconds.
+        :param revision: the jobs that were accepted at later revisions may have been missed.
+        """
+        self._takeover.on_jobs_read(started_at, revision)
+        for link, listed in self._unknown.settle_deleted(started_at):
+            self._stop_stray(link, listed)
 
     def cancel(self, job_id: str) -> Event | None:
         """Cancel a job, unless it has ended.
@@ -312,7 +339,7 @@
         for listed in report.running:
             with contain_errors(self._log, worker=link.worker, task=str(listed.task)):
                 self._handle_running(link, listed)
-        writes = [self._handle_end(link, ended) for ended in report.ended]
+        writes = [self._accept_end(link, ended) for ended in report.ended]
         return [written for written in writes if written is not None]
 
     def _feed_progress(self, link: WorkerLink, report: HoldReport) -> None:
@@ -406,6 +433,16 @@
         else:
             self.registry.on_commit(key, message)
 
+    def _is_known(self, task: TaskId) -> bool:
+        """Whether the job of a task is known; it may be stored nevertheless if it is not."""
+        return task.job_id in self.registry.graphs
+
+    def _accept_end(self, link: WorkerLink, ended: EndedRun) -> Event | None:
+        """Process the end of a run, or keep it until it is known whether its job exists."""
+        if self._is_known(ended.task):
+            return self._handle_end(link, ended)
+        return self._unknown.add_end(link, ended)
+
     def _handle_end(self, link: WorkerLink, ended: EndedRun) -> Event | None:
         """Process the end of a run; one whose handling fails is never acknowledged."""
         with contain_errors(self._log, worker=link.worker, task=str(ended.task)):
@@ -418,6 +455,10 @@
         member = link.members.get(listed.task)
         if member is not None and member.run == listed.run:
             return
+        if not self._is_known(listed.task):
+            if (listed.task, listed.run) not in link.orphans:
+                self._unknown.add_run(link, listed)
+            return
         if not self.recovered:
             self._takeover.record_run(link, listed)
             return
@@ -425,6 +466,9 @@
             return
         if (listed.task, listed.run) in link.orphans:
             return
+        self._stop_stray(link, listed)
+
+    def _stop_stray(self, link: WorkerLink, listed: ListedRun) -> None:
         self._log.emit(
             LogEvent.STRAY_STOPPED, worker=link.worker, task=str(listed.task), run=listed.run
         )
--- a/src/lacewingmill/jobs/vm.py
+++ b/src/lacewingmill/jobs/vm.py
@@ -180,7 +180,7 @@
         )
         workers: WorkerDirectory = self._make_worker_directory(director.pool.update)
         # What the follower last read may be older than the lease; an evacuation may be missing.
-        for load in (inbox.load, workers.load, self._follower.load):
+        for load in (inbox.load, inbox.confirm_owner, workers.load, self._follower.load):
             self._retry_load(load)
         for loop in (workers.follow, inbox.follow):
             self._loops.append(gevent.spawn(keep_running, loop, self._clock, self._log))
