Test: an owner polls a worker after its lease has ended (fails)

Seen on the emulated platform: an idle link waits up to 1 s to acknowledge an end; if the owner's lease ends meanwhile, the poll is sent all the same (assert 4 == 3 polls), and extends the leases at the worker by up to 95% of the longest lease. A new owner's hold-back does not count such an extension.

--- a/tests/test_acks_across_lives.py
+++ b/tests/test_acks_across_lives.py
@@ -54,3 +54,13 @@
     fleet.clock.advance(3.0)
     assert all(entry.acknowledged for entry in fleet.run_history.runs)
     assert fleet.network.call_counts["/hold"] - polls <= 2
+
+
+# Guards against polls, which extend leases, by an owner whose own lease ended while it waited to
+# acknowledge an end.
+def test_an_owner_acknowledges_no_end_once_its_lease_has_ended():
+    fleet = fleet_with_an_unacknowledged_end()
+    polls = fleet.network.call_counts["/hold"]
+    fleet.vms["vm0"].director.owner_lease.ended = True
+    fleet.clock.advance(3.0)
+    assert fleet.network.call_counts["/hold"] == polls
