Poll no worker once the owner's lease has ended during a wait

Callers saw: nothing. An owner called a worker after its own lease had ended, which no repeated run is shown to follow from: the worker was idle, so only leases of runs that this owner does not know grew.

Cause: a link checked the owner's lease before it waited for something to do, and not after.

Evidence: test_an_owner_acknowledges_no_end_once_its_lease_has_ended fails before (4 polls, 3 expected).

Why it works: the lease is checked again after each wait.

--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -291,6 +291,8 @@
                     self._clock.wait(self._wake, ACK_DELAY_S)
                 else:
                     self._wake.wait()
+                if not self._owner_lease.valid:  # it may have ended during the wait
+                    continue
             self._wake.clear()
             try:
                 self._poll_once()
