Explorer: turnover of owners and workers, and ends that were listed but not acknowledged

Cause: plans had leases of 6 s, no planned stop of an owner, no worker that leaves right after its last end or at short notice, and a task that ran again counted only if its end had been acknowledged.

The old checks stay.

--- a/bench/explore.py
+++ b/bench/explore.py
@@ -27,10 +27,11 @@
     PlannedFault,
     PlannedJob,
     draw_plan,
+    draw_turnover_plan,
     reduce_plan,
 )
 from standins.platform.executors import SubmittedJob
-from standins.platform.faults import PlatformFaults
+from standins.platform.faults import PLANNED_FAULTS, PlatformFaults
 from standins.platform.fleet import PlatformFleet
 
 __all__ = ["Exploration", "explore"]
@@ -79,7 +80,8 @@
     """Plays one plan; ``fleet`` holds all that was run."""
 
     def __init__(self, plan: Plan):
-        self.fleet = PlatformFleet(vms=VMS, executors=EXECUTORS)
+        self.fleet = PlatformFleet(vms=VMS, executors=EXECUTORS, lease_s=plan.lease_s)
+        self.fleet.network.latency_s = plan.latency_s
         self.clock = self.fleet.clock
         self._plan = plan
         self._started_at = self.clock.now()
@@ -162,10 +164,11 @@
 
     def _call(self, rng: random.Random, send: Callable, *args):
         """Call a random running VM; return ``None`` when no answer comes in time."""
-        if not self.fleet.vms:
+        serving = [vm for vm in sorted(self.fleet.vms) if self.fleet.serves(vm)]
+        if not serving:
             return None
         answered = Event()
-        greenlet = gevent.spawn(send, rng.choice(sorted(self.fleet.vms)), *args)
+        greenlet = gevent.spawn(send, rng.choice(serving), *args)
         greenlet.rawlink(lambda _: answered.set())
         if not self.clock.wait(answered, REQUEST_TIMEOUT_S) or not greenlet.successful():
             return None
@@ -177,6 +180,8 @@
             self._moments[fault.after].wait()
             self.clock.sleep(fault.delay_s)
         if not self._stopped and self.clock.now() < self._started_at + self._plan.length_s:
+            if fault.kind not in PLANNED_FAULTS:
+                self.fleet.unplanned_faults.append(self.clock.now())
             getattr(PlatformFaults(self.fleet, rng), fault.kind)()
 
     def _note_call(self, path: str, status: int, body: dict) -> None:
@@ -230,12 +235,15 @@
     parser.add_argument(
         "--minimize", action="store_true", help="leave out what a finding doesn't need"
     )
+    parser.add_argument(
+        "--turnover", action="store_true", help="draw plans that replace owners and executors"
+    )
     args = parser.parse_args()
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     started = time.monotonic()
     rules: collections.Counter[str] = collections.Counter()
     for seed in range(args.seed, args.seed + args.seeds):
-        plan = draw_plan(seed)
+        plan = draw_turnover_plan(seed) if args.turnover else draw_plan(seed)
         findings = explore(plan)
         if not findings:
             continue
--- a/bench/explore_checks.py
+++ b/bench/explore_checks.py
@@ -14,6 +14,9 @@
 CANCEL_S = 3.4
 # Time that users allow from the request of an evacuation to the last start.
 EVACUATED_S = 5.0
+# An end counts as taken note of once it was listed, unless an unplanned fault began so long before
+# it or up to the start.
+NEAR_S = 10.0
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -38,6 +41,7 @@
         executor.advance()
     return (
         *_check_single_runs(fleet),
+        *_check_listed_ends(fleet),
         *_check_ends(fleet, states),
         *_check_refusals_and_cancels(fleet),
         *_check_places(fleet),
@@ -55,6 +59,15 @@
         yield Finding("TWICE", run.task, f"{run.task} ran again after its end, as run {run.number}")
 
 
+def _check_listed_ends(fleet: PlatformFleet) -> Iterator[Finding]:
+    """TWICE: a task never runs after its end was listed, where only planned things went on."""
+    for done, run in fleet.run_history.runs_after_listed_done():
+        if any(done.ended_at - NEAR_S < at < run.started_at for at in fleet.unplanned_faults):
+            continue
+        text = f"{run.task} ran again after its end was listed, as run {run.number}"
+        yield Finding("TWICE", run.task, text)
+
+
 def _check_ends(fleet: PlatformFleet, states: Mapping[str, str | int]) -> Iterator[Finding]:
     """LOST: each accepted job ends, and fails only by failed runs."""
     failed = {run.task for run in fleet.run_history.runs if run.outcome == "failed"}
--- a/bench/explore_plans.py
+++ b/bench/explore_plans.py
@@ -7,10 +7,19 @@
 
 import attrs
 
-from standins.platform.faults import EVACUATION, FAULTS
+from standins.platform.faults import EVACUATION, FAULTS, TURNOVER_FAULTS, TURNOVER_OUTAGES
 from standins.platform.fleet import job_id, step
 
-__all__ = ["EXECUTORS", "Moment", "Plan", "PlannedFault", "PlannedJob", "draw_plan", "reduce_plan"]
+__all__ = [
+    "EXECUTORS",
+    "Moment",
+    "Plan",
+    "PlannedFault",
+    "PlannedJob",
+    "draw_plan",
+    "draw_turnover_plan",
+    "reduce_plan",
+]
 
 LENGTH_S = 24.0
 MAX_FAULT_INTERVAL_S = 2.5
@@ -25,6 +34,14 @@
 OWNER_FAULT_SHARE = 0.5
 EVACUATION_SHARE = 0.4
 MAX_EVACUATIONS = 3
+# Plans of turnover: longer leases, longer tasks, and owners that are replaced every few seconds.
+TURNOVER_LEASE_S = 10.0
+TURNOVER_RUN_S = (1.0, 10.0)
+TURNOVER_JOB_INTERVAL_S = (0.4, 1.6)
+TURNOVER_FAULT_INTERVAL_S = (0.2, 2.0)
+MAX_LATENCY_S = 0.02
+OUTAGE_SHARE = 0.5
+MAX_OUTAGE_KINDS = 4
 
 Entry = TypeVar("Entry")
 
@@ -80,12 +97,16 @@
 
     :param seed: draws what the plan leaves open, such as the VM that a client calls.
     :param length_s: how long jobs are handed in and faults begin, in seconds.
+    :param lease_s: longest lease of the runs on an executor, in seconds.
+    :param latency_s: time that a request or an answer takes, in seconds.
     """
 
     seed: int
     length_s: float
     jobs: tuple[PlannedJob, ...]
     faults: tuple[PlannedFault, ...]
+    lease_s: float = 6.0
+    latency_s: float = 0.001
 
 
 @attrs.frozen
@@ -111,6 +132,30 @@
     return Plan(seed, LENGTH_S, tuple(jobs), (*faults, *_draw_evacuations(seed)))
 
 
+def draw_turnover_plan(seed: int) -> Plan:
+    """Draw a plan in which VMs and executors are replaced all the while."""
+    rng = random.Random(f"{seed} turnover")
+    mix = attrs.evolve(_draw_mix(rng), advised=0.0, dense=0.0)
+    jobs = []
+    at_s = 0.0
+    while (at_s := at_s + rng.uniform(*TURNOVER_JOB_INTERVAL_S)) < LENGTH_S:
+        job = _draw_job(rng, mix, at_s, job_id(len(jobs) + 1))
+        steps = tuple(each | {"gpu": min(4, each["gpu"])} for each in job.steps[:2])
+        spec = " ".join([f"run_s={rng.uniform(*TURNOVER_RUN_S):.2f}", *job.spec.split()[1:]])
+        jobs.append(attrs.evolve(job, steps=steps, spec=spec))
+    kinds = ["stop_owner", *rng.choices(TURNOVER_FAULTS, k=4)]
+    if rng.random() < OUTAGE_SHARE:
+        kinds += rng.sample(TURNOVER_OUTAGES, rng.randint(1, MAX_OUTAGE_KINDS))
+    faults = []
+    at_s = 0.0
+    while (at_s := at_s + rng.uniform(*TURNOVER_FAULT_INTERVAL_S)) < LENGTH_S:
+        after = rng.choice([None, Moment.END_LISTED, *Moment])
+        delay_s = rng.choice([0.0, rng.uniform(0.0, 0.02), rng.uniform(0.0, MAX_DELAY_S)])
+        faults.append(PlannedFault(at_s, rng.choice(kinds), after, delay_s))
+    latency_s = rng.uniform(0.001, MAX_LATENCY_S)
+    return Plan(seed, LENGTH_S, tuple(jobs), tuple(faults), TURNOVER_LEASE_S, latency_s)
+
+
 def reduce_plan(plan: Plan, breaks: Callable[[Plan], bool]) -> Plan:
     """Leave out faults and jobs while the plan still breaks.
 
--- a/standins/platform/executors.py
+++ b/standins/platform/executors.py
@@ -43,6 +43,8 @@
     :param checkpoint: work in the last checkpoint, as a decimal number of seconds; empty if none.
     :param stops_at: time at which a requested stop completes, in seconds.
     :param acknowledged: whether the end was acknowledged before the lease of the executor lapsed.
+    :param listed_at: when the end was first sent in an answer, before that lease lapsed, in
+        seconds; ``None`` before.
     """
 
     task: str
@@ -60,6 +62,7 @@
     checkpoint: str = ""
     stops_at: float | None = None
     acknowledged: bool = False
+    listed_at: float | None = None
 
     @property
     def work_ends_at(self) -> float:
@@ -149,6 +152,18 @@
                 done.setdefault(run.task, run.ended_at)
         return [run for run in self.runs if run.started_at > done.get(run.task, float("inf"))]
 
+    def runs_after_listed_done(self) -> list[tuple[Run, Run]]:
+        """Return pairs of a run that was done and listed so, and a run that started after it."""
+        done: dict[str, Run] = {}
+        for run in self.runs:
+            if run.outcome == "done" and run.listed_at is not None:
+                done.setdefault(run.task, run)
+        return [
+            (done[run.task], run)
+            for run in self.runs
+            if run.task in done and run.started_at > done[run.task].ended_at
+        ]
+
 
 class Executor:
     """An emulated executor, which runs tasks under a lease.
@@ -156,13 +171,21 @@
     :param entry: the part of its registration that does not change.
     :param clock: time of the emulated platform.
     :param run_history: records the runs of all executors.
+    :param max_lease_s: longest lease that is granted, in seconds.
 
     If ``failing`` is set, all tasks that it starts fail, after ``fails_after_s`` if that is set,
     also while their gang is incomplete; if ``rejects_starts`` is set, it responds
     with 503 to starts.
     """
 
-    def __init__(self, name: str, entry: dict, clock, run_history: RunHistory):
+    def __init__(
+        self,
+        name: str,
+        entry: dict,
+        clock,
+        run_history: RunHistory,
+        max_lease_s: float = MAX_LEASE_S,
+    ):
         self.name = name
         self.entry = entry
         self.fence = 0
@@ -173,6 +196,7 @@
         self.incarnation = int(clock.wall() * 1000)
         self._clock = clock
         self._run_history = run_history
+        self._max_lease_s = max_lease_s
         self._started_at = clock.now()
         self._lease_until_ms = 0.0
         self._lease_lapsed_at = 0.0
@@ -212,7 +236,7 @@
         self.advance()
         for run in self._running.values():
             run.ended_at, run.outcome = self._clock.now(), "crashed"
-        self.__init__(self.name, self.entry, self._clock, self._run_history)
+        self.__init__(self.name, self.entry, self._clock, self._run_history, self._max_lease_s)
         self.incarnation += 1
 
     def exit(self) -> None:
@@ -224,6 +248,22 @@
         self.exited_at = self._clock.now()
         self._wake()
 
+    @property
+    def idle_since(self) -> float | None:
+        """When the last run ended, in seconds; ``None`` while anything runs."""
+        self.advance()
+        if self._running:
+            return None
+        return max((run.ended_at for _, run in self._ended), default=self._started_at)
+
+    def record_listing(self, rows: list[list]) -> None:
+        """Record that rows of ends have been sent in an answer."""
+        runs = dict(self._ended)
+        for number, *_ in rows:
+            run = runs.get(number)
+            if run is not None and run.listed_at is None and run.ended_at >= self._lease_lapsed_at:
+                run.listed_at = self._clock.now()
+
     def handle(self, path: str, headers: dict, body: bytes) -> tuple[int, dict]:
         """Handle a call.
 
@@ -250,7 +290,7 @@
         return {"clock_ms": self.clock_ms(), **fields}
 
     def _extend_lease(self, until_ms: int) -> None:
-        latest_ms = self.clock_ms() + MAX_LEASE_S * 1000
+        latest_ms = self.clock_ms() + self._max_lease_s * 1000
         self._lease_until_ms = max(self._lease_until_ms, min(until_ms, latest_ms))
 
     def _start(self, req: dict) -> tuple[int, dict]:
--- a/standins/platform/faults.py
+++ b/standins/platform/faults.py
@@ -8,12 +8,32 @@
 from standins.platform.executors import Executor
 from standins.platform.fleet import STORE, PlatformFleet
 
-__all__ = ["EVACUATION", "FAULTS", "PlatformFaults"]
+__all__ = [
+    "EVACUATION",
+    "FAULTS",
+    "FAULT_S",
+    "PLANNED_FAULTS",
+    "TURNOVER_FAULTS",
+    "TURNOVER_OUTAGES",
+    "PlatformFaults",
+]
 
 FAULT_S = 3.0
 SHORT_CUT_S = (0.5, 2.5)
 LATE_ORDER_S = 2.5
 EVACUATION_S = (2.0, 14.0)
+# A VM that was stopped in good order starts again after this time.
+RESTART_S = (0.3, 2.0)
+# A worker that is withdrawn stops answering this time after its notice, and its entry lapses later.
+NOTICE_S = (1.0, 2.0)
+LAPSE_S = (0.5, 5.0)
+SUCCESSOR_S = 4.0
+# A worker that drains leaves once it is idle, or after the longest time.
+EXIT_AFTER_END_S = 0.1
+DRAIN_S = (0.5, 12.0)
+DRAIN_POLL_S = 0.03
+DOWN_S = (0.05, 1.5)
+MIN_READY = 4
 
 
 class PlatformFaults:
@@ -27,6 +47,7 @@
     def __init__(self, fleet: PlatformFleet, rng: random.Random):
         self._fleet = fleet
         self._rng = rng
+        self._departing = fleet.departing
 
     def kill_owner(self) -> None:
         """Kill the VM that directs the jobs, and start it again later."""
@@ -99,6 +120,9 @@
         worker = self._rng.choice([each for each in self._fleet.executors if not each.exited_at])
         worker.exit()
         self._fleet.operator.unregister(worker)
+        self._add_successor(worker)
+
+    def _add_successor(self, worker: Executor) -> None:
         number = len(self._fleet.executors)
         new = self._fleet.add_executor(number)
         new.entry |= {"labels": worker.entry["labels"], "zone": worker.entry["zone"]}
@@ -166,6 +190,118 @@
         operator.evacuate(zone)
         self._undo_later(lambda: operator.release(zone), after_s=self._rng.uniform(*EVACUATION_S))
 
+    def stop_owner(self) -> None:
+        """Stop the VM that directs the jobs in good order, and start it again."""
+        if self._fleet.owner:
+            gevent.spawn(self._stop_and_start, self._fleet.owner)
+
+    def stop_vm(self) -> None:
+        """Stop a VM in good order, and start it again."""
+        if self._fleet.vms:
+            gevent.spawn(self._stop_and_start, self._rng.choice(sorted(self._fleet.vms)))
+
+    def leave_worker(self) -> None:
+        """Drain an executor, which exits right after its last end; another one follows."""
+        worker = self._take_ready_executor()
+        if worker is not None:
+            self._fleet.operator.register(worker, state="draining")
+            gevent.spawn(self._drain_and_exit, worker)
+
+    def withdraw_worker(self) -> None:
+        """Withdraw an executor at short notice; another one follows."""
+        worker = self._take_ready_executor()
+        if worker is not None:
+            self._fleet.operator.register(worker, state="draining")
+            gevent.spawn(self._withdraw, worker)
+
+    def cut_owner_from_vms(self) -> None:
+        """Cut the owner off from the other VMs; it reaches the store and the executors."""
+        owner = self._fleet.owner
+        others = [vm for vm in self._fleet.http_clients if vm != owner]
+        if owner:
+            pairs = {(owner, f"{other}:82") for other in others}
+            self._cut(pairs | {(other, f"{owner}:82") for other in others}, FAULT_S)
+
+    def cut_workers_from_some_vms(self) -> None:
+        """Cut some executors off from some VMs."""
+        vms = sorted(self._fleet.http_clients)
+        vms = self._rng.sample(vms, self._rng.randint(1, len(vms) - 1))
+        workers = self._rng.sample(self._fleet.executors, self._rng.randint(1, 3))
+        pairs = {(vm, each.entry["addr"]) for vm in vms for each in workers}
+        self._cut(pairs, self._rng.uniform(1.0, 8.0))
+
+    def lose_poll_answers(self) -> None:
+        """Lose the responses to the next polls of an executor, which carries them out."""
+        self._fleet.network.lost_hold_answers[self._random_executor().name] = 2
+
+    def delay_polls(self) -> None:
+        """Delay the polls of an executor beyond their timeouts."""
+        worker = self._random_executor().name
+        self._fleet.network.late_holds[worker] = LATE_ORDER_S
+        self._undo_later(lambda: self._fleet.network.late_holds.pop(worker, None))
+
+    def restart_worker(self) -> None:
+        """Let an executor crash, which breaks its calls, and start again under its id."""
+        worker = self._take_ready_executor()
+        if worker is None:
+            return
+        worker.exit()
+
+        def start():
+            worker.crash()
+            self._fleet.operator.register(worker)
+            self._departing.discard(worker)
+
+        self._undo_later(start, after_s=self._rng.uniform(*DOWN_S))
+
+    def _take_ready_executor(self) -> Executor | None:
+        """Return an executor that neither has left nor is about to, and note that it will."""
+        ready = [
+            each
+            for each in self._fleet.executors
+            if each.exited_at is None and each not in self._departing
+        ]
+        if len(ready) <= MIN_READY:
+            return None
+        worker = self._rng.choice(ready)
+        self._departing.add(worker)
+        return worker
+
+    def _stop_and_start(self, name: str) -> None:
+        vm = self._fleet.vms[name]
+        vm.begin_stop()
+        vm.wait()
+        if self._fleet.vms.get(name) is vm:
+            self._fleet.kill(name)
+            restart_s = self._rng.uniform(*RESTART_S)
+            self._undo_later(lambda: self._fleet.start_vm(name), after_s=restart_s)
+
+    def _drain_and_exit(self, worker: Executor) -> None:
+        clock = self._fleet.clock
+        earliest, latest = (clock.now() + each for each in DRAIN_S)
+        while worker.exited_at is None and clock.now() < latest:
+            clock.sleep(DRAIN_POLL_S)
+            idle_since = worker.idle_since
+            if idle_since is not None and clock.now() >= max(
+                earliest, idle_since + EXIT_AFTER_END_S
+            ):
+                break
+        worker.exit()
+        self._fleet.operator.unregister(worker)
+        self._undo_later(lambda: self._add_successor(worker), after_s=SUCCESSOR_S)
+
+    def _withdraw(self, worker: Executor) -> None:
+        network = self._fleet.network
+        self._fleet.clock.sleep(self._rng.uniform(*NOTICE_S))
+        network.dark.add(worker.name)
+        network.outdated_machines.add(worker.name)
+        network.cut |= {(vm, worker.entry["addr"]) for vm in self._fleet.http_clients}
+        worker.exit()
+        self._undo_later(lambda: self._add_successor(worker), after_s=SUCCESSOR_S)
+        self._fleet.clock.sleep(self._rng.uniform(*LAPSE_S))
+        self._fleet.operator.unregister(worker)
+        network.outdated_machines.discard(worker.name)
+
     def _random_executor(self) -> Executor:
         return self._rng.choice(self._fleet.executors)
 
@@ -196,7 +332,35 @@
 
 
 EVACUATION = PlatformFaults.evacuate_domain.__name__
+# What goes on while VMs and executors are replaced, as announced; the plans of kept seeds know none
+# of it.
+PLANNED_TURNOVER = ("stop_owner", "stop_vm", "leave_worker", "withdraw_worker")
+UNPLANNED_TURNOVER = (
+    "cut_owner_from_vms",
+    "cut_workers_from_some_vms",
+    "lose_poll_answers",
+    "delay_polls",
+    "restart_worker",
+)
+TURNOVER_FAULTS = (*PLANNED_TURNOVER, "drain_worker", EVACUATION)
+TURNOVER_OUTAGES = (
+    *UNPLANNED_TURNOVER,
+    "kill_owner",
+    "store_down",
+    "store_silent",
+    "store_ignores_watches",
+    "store_loses_answers",
+    "cut_vm",
+    "cut_worker",
+    "cut_workers",
+    "lose_order_answers",
+    "reset_polls",
+    "delay_orders",
+    "slow_worker",
+)
+PLANNED_FAULTS = frozenset(TURNOVER_FAULTS)
 # An evacuation is a request and no fault, and is drawn apart from the faults.
+_DRAWN_APART = (EVACUATION, *PLANNED_TURNOVER, *UNPLANNED_TURNOVER)
 FAULTS = tuple(
-    name for name in vars(PlatformFaults) if not name.startswith("_") and name != EVACUATION
+    name for name in vars(PlatformFaults) if not name.startswith("_") and name not in _DRAWN_APART
 )
--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -3,6 +3,8 @@
 import json
 import random
 
+import attrs
+
 from lacewingmill.job_composition import VmEnvironment, build_job_vm
 from lacewingmill.jobs.settings import JobVmSettings, PlatformLimits
 from standins.platform.executors import Executor, RunHistory, SubmittedJob
@@ -27,12 +29,24 @@
     :param vms: number of VMs, named ``vm0``, ``vm1`` and so on.
     :param executors: number of executors.
     :param slow_links: names of the VMs that have a slow network link.
+    :param lease_s: longest lease of the runs on an executor, in seconds.
 
+    ``unplanned_faults`` holds the times at which faults began that nobody had announced.
+    ``departing`` holds executors that leave or start again.
     ``replaced_by`` holds the name of the successor of each executor that was replaced.
     """
 
-    def __init__(self, vms: int = 2, executors: int = 4, slow_links: tuple[str, ...] = ()):
+    def __init__(
+        self,
+        vms: int = 2,
+        executors: int = 4,
+        slow_links: tuple[str, ...] = (),
+        lease_s: float = LIMITS.longest_hold_s,
+    ):
         self.slow_links = slow_links
+        self.limits = attrs.evolve(LIMITS, longest_hold_s=lease_s)
+        self.unplanned_faults: list[float] = []
+        self.departing: set[Executor] = set()
         self.clock = VirtualClock()
         self.kv = KvStore(self.clock)
         self.network = EmulatedNetwork(self.clock, self.kv, STORE)
@@ -62,7 +76,8 @@
             "capacity": {"cpu": 32000, "mem_mb": 131072, "gpu": 8},
             "labels": ["a", f"r{number // 2}"],
         }
-        executor = Executor(f"i-{number}", entry, self.clock, self.run_history)
+        lease_s = self.limits.longest_hold_s
+        executor = Executor(f"i-{number}", entry, self.clock, self.run_history, lease_s)
         self.network.executors[address] = executor
         self.operator.register(executor)
         return executor
@@ -84,7 +99,7 @@
             f"{name}:82",
             f"{name}:83",
             STORE,
-            LIMITS,
+            self.limits,
             ADVISOR,
             MACHINES,
             link_mbps=10.0 if name in self.slow_links else 1000.0,
@@ -106,6 +121,10 @@
             if address.startswith(f"{name}:"):
                 del self.network.servers[address]
 
+    def serves(self, name: str) -> bool:
+        """Whether a VM accepts calls of clients."""
+        return f"{name}:80" in self.network.servers
+
     @property
     def owner(self) -> str | None:
         """Name of the VM that directs the jobs."""
--- a/standins/platform/network.py
+++ b/standins/platform/network.py
@@ -32,11 +32,15 @@
     - ``reset_orders``: executors to which the connections of orders are reset;
     - ``late_orders``: delay after which orders take effect, in seconds; they get no response;
     - ``lost_responses``: number of orders that take effect and get no response;
+    - ``late_holds``: delay after which hold calls take effect, in seconds; they get no response;
+    - ``lost_hold_answers``: number of hold calls that take effect and get no response;
     - ``lost_holds``, ``reset_holds``, ``refused_holds``: number of hold calls that time out, or
       whose connection is reset or refused.
 
     Hold calls are the long polls that extend the lease of an executor and return its ended runs.
-    They are not orders here. ``call_counts`` counts orders and hold calls by path, and
+    They are not orders here. ``dark`` names executors that are gone and of which no call learns so
+    but by its timeout, and ``outdated_machines`` those that the machine list still names.
+    ``call_counts`` counts orders and hold calls by path, and
     ``on_executor_call`` is called with the path, status and body of each that was executed.
     """
 
@@ -59,6 +63,11 @@
         self.lost_holds: dict[str, int] = {}
         self.reset_holds: dict[str, int] = {}
         self.refused_holds: dict[str, int] = {}
+        self.late_holds: dict[str, float] = {}
+        self.lost_hold_answers: dict[str, int] = {}
+        self.dark: set[str] = set()
+        self.outdated_machines: set[str] = set()
+        self.latency_s = LATENCY_S
         self.call_counts: dict[str, int] = {}
         self.on_executor_call: Callable[[str, int, dict], None] | None = None
         self._store_address = store_address
@@ -83,7 +92,11 @@
         """Return a page with one machine, or ``None`` while the service is down."""
         if self.machines_down:
             return None
-        ids = [executor.name for executor in self.executors.values() if executor.exited_at is None]
+        ids = [
+            executor.name
+            for executor in self.executors.values()
+            if executor.exited_at is None or executor.name in self.outdated_machines
+        ]
         start = int(path.partition("page_token=")[2] or 0)
         rows = [
             {"machine": f"m-{name}", "state": "up", "id": name} for name in ids[start : start + 1]
@@ -146,7 +159,7 @@
         :raises TransportError: if the call fails.
         """
         network = self._network
-        network.clock.sleep(LATENCY_S)
+        network.clock.sleep(network.latency_s)
         if not self.alive:
             network.clock.sleep(1e9)
         if not is_address(peer):
@@ -205,38 +218,60 @@
         network = self._network
         executor = network.executors[peer]
         network.call_counts[path] = network.call_counts.get(path, 0) + 1
-        if path == "/hold" and network.lost_holds.get(executor.name, 0):
-            network.lost_holds[executor.name] -= 1
-            network.clock.sleep(timeout_s)
-            raise CallTimeout("hold lost", step=path, peer=peer)
-        if path == "/hold" and network.reset_holds.get(executor.name, 0):
-            network.reset_holds[executor.name] -= 1
-            raise TransportError("connection reset", step=path, peer=peer)
-        if path == "/hold" and network.refused_holds.get(executor.name, 0):
-            network.refused_holds[executor.name] -= 1
-            raise ConnectFailed("refused", step="connect", peer=peer)
-        if executor.name in network.reset_orders and path != "/hold":
-            raise TransportError("connection reset", step=path, peer=peer)
-        if executor.name in network.lost_orders and path != "/hold":
-            network.clock.sleep(timeout_s)
-            raise CallTimeout("order lost", step=path, peer=peer)
-        delay_s = network.late_orders.get(executor.name)
-        if delay_s is not None and path != "/hold":
+        self._fail_on_the_way(executor, path, timeout_s)
+        late = network.late_holds if path == "/hold" else network.late_orders
+        delay_s = late.get(executor.name)
+        if delay_s is not None:
             gevent.spawn(self._deliver_late, executor, path, headers, body, delay_s)
             network.clock.sleep(timeout_s)
             raise CallTimeout("order late", step=path, peer=peer)
         answer_by = network.clock.now() + timeout_s
+        incarnation = executor.incarnation
         response = executor.handle(path, headers, body)
         if network.on_executor_call is not None:
             network.on_executor_call(path, *response)
+        if executor.name in network.dark:
+            network.clock.sleep(max(0.0, answer_by - network.clock.now()))
+            raise CallTimeout("no answer", step=path, peer=peer)
         if executor.exited_at is not None:
             raise TransportError("connection reset", step=path, peer=peer)
+        if path == "/hold" and executor.incarnation == incarnation:
+            executor.record_listing(response[1].get("ended", []))
+        self._lose_answer(executor, path, answer_by, timeout_s)
+        return self._receive(response, timeout_s)
+
+    def _fail_on_the_way(self, executor, path, timeout_s) -> None:
+        """Raise an error if the call never reaches the executor."""
+        network, name, peer = self._network, executor.name, executor.entry["addr"]
+        if path != "/hold":
+            if name in network.reset_orders:
+                raise TransportError("connection reset", step=path, peer=peer)
+            if name in network.lost_orders:
+                network.clock.sleep(timeout_s)
+                raise CallTimeout("order lost", step=path, peer=peer)
+        elif network.lost_holds.get(name, 0):
+            network.lost_holds[name] -= 1
+            network.clock.sleep(timeout_s)
+            raise CallTimeout("hold lost", step=path, peer=peer)
+        elif network.reset_holds.get(name, 0):
+            network.reset_holds[name] -= 1
+            raise TransportError("connection reset", step=path, peer=peer)
+        elif network.refused_holds.get(name, 0):
+            network.refused_holds[name] -= 1
+            raise ConnectFailed("refused", step="connect", peer=peer)
+
+    def _lose_answer(self, executor, path, answer_by, timeout_s) -> None:
+        """Delay the answer of an executor, and raise an error if it is lost."""
+        network, name, peer = self._network, executor.name, executor.entry["addr"]
+        if path == "/hold" and network.lost_hold_answers.get(name, 0):
+            network.lost_hold_answers[name] -= 1
+            network.clock.sleep(max(0.0, answer_by - network.clock.now()))
+            raise CallTimeout("answer lost", step=path, peer=peer)
         self._delay_answer(peer, path, answer_by - network.clock.now())
-        if path != "/hold" and network.lost_responses.get(executor.name, 0):
-            network.lost_responses[executor.name] -= 1
+        if path != "/hold" and network.lost_responses.get(name, 0):
+            network.lost_responses[name] -= 1
             network.clock.sleep(timeout_s)
             raise CallTimeout("answer lost", step=path, peer=peer)
-        return self._receive(response, timeout_s)
 
     def _delay_answer(self, peer, path, timeout_s):
         delay_s = self._network.slow_servers.get(peer, 0.0)
@@ -257,7 +292,7 @@
         if response is None:
             network.clock.sleep(timeout_s)
             raise TransportError("answer lost", step="call", peer=self._name)
-        network.clock.sleep(LATENCY_S)
+        network.clock.sleep(network.latency_s)
         if not self.alive:
             network.clock.sleep(1e9)
         status, body = response
