A step that a replaced owner starts after the next one's takeover is held back

Callers saw (TWICE): two runs of one task at once, on a worker that a new owner had not reached and elsewhere.

Cause: a new owner held back no step whose dependencies it had seen running, as no earlier owner could have heard of their ends. A replaced owner can: a worker answers its poll that was waiting with ends that come after the new owner's first poll, and that answer is no refusal. It then starts the next step on a worker that the new owner has not reached.

Change: after a replaced owner, such steps of jobs that it may know are held back too, while a worker does not answer.

--- a/src/lacewingmill/jobs/takeover.py
+++ b/src/lacewingmill/jobs/takeover.py
@@ -50,8 +50,8 @@
     ):
         self._predecessor_ends_at = owner_lease.predecessor_ends_at
         # The revision from which jobs were accepted too late for an earlier owner to start them.
-        replaced = owner_lease.predecessor_valid_s > 0
-        self._own_since = math.inf if replaced else owner_lease.fence
+        self._replaced = owner_lease.predecessor_valid_s > 0
+        self._own_since = math.inf if self._replaced else owner_lease.fence
         self._own_jobs: set[str] = set()
         self._clock = clock
         self._log = log
@@ -116,7 +116,10 @@
         :return: whether the unit is held back.
         """
         graph = self._registry.graphs[unit.job_id]
-        if not self._is_doubtful(graph) or not graph.maybe_started_earlier(unit):
+        if not self._is_doubtful(graph):
+            return False
+        # Polls of a replaced owner that were waiting are answered with ends of runs seen here.
+        if not self._replaced and not graph.maybe_started_earlier(unit):
             return False
         self._held_back[unit.unit_id] = unit
         return True
--- a/tests/test_unknown_jobs.py
+++ b/tests/test_unknown_jobs.py
@@ -15,14 +15,18 @@
 
     No other VM reaches it, nor the last rack until :meth:`reconnect` is called; the answers by
     which it would notice are lost.
+
+    :param steps: steps of a job that is handed in just before; none without.
     """
 
-    def __init__(self, racks: int = 2):
+    def __init__(self, racks: int = 2, steps: list[dict] | None = None, spec: str = ""):
         self.fleet = fleet = PlatformFleet(vms=3, executors=2 * racks - 1)
         self.vm = fleet.owner
         self.rack = [each for each in fleet.executors if each.entry["zone"] == f"z{racks - 1}"]
         self._leave_unanswered()
         self.others = fleet.vms.keys() - {self.vm}
+        if steps:
+            run(fleet, fleet.submit, self.vm, "ordinary", job_id(1), steps, spec, seconds=0.1)
         addresses = [each.entry["addr"] for each in self.rack]
         fleet.network.cut = {(other, f"{self.vm}:82") for other in self.others}
         fleet.network.cut |= {(other, addr) for other in self.others for addr in addresses}
@@ -123,6 +127,16 @@
     assert replaced.finish() == ["done"]
 
 
+# Guards against starting a step that a replaced owner has started: the end of the step before,
+# which the next owner has seen running, answered a poll of the replaced one that was waiting.
+def test_a_step_that_a_replaced_owner_starts_after_the_takeover_is_held_back():
+    steps = [step(data_rack="r0"), step(after=[0], data_rack="r1")]
+    replaced = ReplacedOwner(steps=steps, spec="run_s=1.6")
+    replaced.fleet.clock.advance(2.0)
+    replaced.reconnect()
+    assert replaced.finish() == ["done", "done"]
+
+
 # Guards against acknowledging the end of a job that is not known yet, and starting the job later.
 @pytest.mark.parametrize("polled_late", [False, True])
 @pytest.mark.parametrize("run_s", [0.3, 0.8])
