--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -39,7 +39,7 @@
 
 # Each cause that is brought back, a seed that finds it, and the rule that it then breaks.
 CAUSES = (
-    (take_unlisted_workers_for_gone, 1, "TWICE"),
+    (take_unlisted_workers_for_gone, 54, "TWICE"),
     (avoid_workers_after_a_failure_for_good, 7, "LOST"),
     (never_ask_about_workers_that_join, 43, "LOST"),
     (ignore_evacuations, 8, "EVAC"),
