Store an end that was heard although its worker has exited since

Callers would see (TWICE): a task started again after its listed end `done`, where a call to the store failed in a takeover (a refusal or a reset for a tenth of a second is enough).

Cause: an owner that has left tried to store the ends of an answer once. If that failed, it asked the worker again first, and forgot the ends if the worker had exited meanwhile, which it may 0.1 s after its last end.

Why it works: the latest answer is kept and stored after each poll, answered or not, for as long as the owner listens.

--- a/src/lacewingmill/jobs/late_ends.py
+++ b/src/lacewingmill/jobs/late_ends.py
@@ -17,6 +17,7 @@
 from lacewingmill.jobs.ports import (
     EndedRun,
     HoldOrder,
+    HoldReport,
     Put,
     Transaction,
     TransactionStore,
@@ -66,26 +67,26 @@
 
     def _listen(self, entry: WorkerEntry) -> None:
         until = self._clock.now() + LISTEN_S
+        report: HoldReport | None = None
         passed_on = failures = 0
         with contain_errors(self._log, worker=entry.worker):
             while self._clock.now() < until:
-                order = HoldOrder(self._fence, 0, 0.0, 0.0 if passed_on else LONG_POLL_S)
+                wait_s = 0.0 if report is not None and report.ended else LONG_POLL_S
+                order = HoldOrder(self._fence, 0, 0.0, wait_s)
                 try:
-                    report = self._orders.hold(
-                        entry, order, timeout_s=order.wait_s + TIMEOUT_MARGIN_S
-                    )
+                    report = self._orders.hold(entry, order, timeout_s=wait_s + TIMEOUT_MARGIN_S)
+                    failures = 0
                 except (FenceRejected, WorkerReplaced):
                     return
                 except TransportError:
                     failures += 1
-                    self._clock.sleep(POLL_INTERVAL_S if failures == 1 else RETRY_S)
-                    continue
-                failures = 0
-                if len(report.ended) > passed_on and self._pass_on(entry.worker, report.ended):
-                    passed_on = len(report.ended)
-                if not report.running and passed_on == len(report.ended):
+                # What was heard is stored also if the worker has exited since.
+                ended = report.ended if report is not None else ()
+                if len(ended) > passed_on and self._pass_on(entry.worker, ended):
+                    passed_on = len(ended)
+                if not failures and not report.running and passed_on == len(ended):
                     return
-                self._clock.sleep(POLL_INTERVAL_S)
+                self._clock.sleep(RETRY_S if failures > 1 else POLL_INTERVAL_S)
 
     def _pass_on(self, worker: str, ended: tuple[EndedRun, ...]) -> bool:
         """Store all ends that a worker lists; return whether they are stored."""
--- /dev/null
+++ b/tests/test_late_ends.py
@@ -0,0 +1,22 @@
+"""Ends that an owner hears of once it has left, on virtual time."""
+
+import pytest
+
+from tests.test_platform_handover import (
+    check_nothing_ran_again,
+    exit_worker,
+    fleet_with_ends_on_a_leaving_worker,
+)
+
+
+# Guards against forgetting an end that was heard because one call to the store failed: the worker
+# may have exited before it is asked again.
+@pytest.mark.parametrize("fault", ["down", "resets"])
+def test_an_end_that_is_heard_is_stored_though_the_worker_has_exited_meanwhile(fault):
+    fleet = fleet_with_ends_on_a_leaving_worker(jobs=1, in_s=(0.1,))
+    fleet.vms[fleet.owner].begin_stop()
+    fleet.clock.advance(0.09)
+    setattr(fleet.kv.faults, fault, True)
+    exit_worker(fleet)
+    setattr(fleet.kv.faults, fault, False)
+    check_nothing_ran_again(fleet)
