Pass on new ends although a worker lists no more of them than before

Callers would see (TWICE): a task started again after its listed end `done`, in a takeover.

Cause: an owner that has left compared how many ends a worker lists. An acknowledgement that was under way when it left makes the worker forget some, so a new end may leave the list as long as it was, and was not stored.

Evidence: test_new_ends_are_passed_on_although_the_list_is_not_longer: the acknowledgement is delivered 80 ms late. After: passes.

Why it works: ends are numbered in the order in which they come, so the number of the last one tells a new one.

--- a/src/lacewingmill/jobs/late_ends.py
+++ b/src/lacewingmill/jobs/late_ends.py
@@ -68,7 +68,8 @@
     def _listen(self, entry: WorkerEntry) -> None:
         until = self._clock.now() + LISTEN_S
         report: HoldReport | None = None
-        passed_on = failures = 0
+        passed_on = 0  # number of the latest end that is stored
+        failures = 0
         with contain_errors(self._log, worker=entry.worker):
             while self._clock.now() < until:
                 wait_s = 0.0 if report is not None and report.ended else LONG_POLL_S
@@ -82,9 +83,10 @@
                     failures += 1
                 # What was heard is stored also if the worker has exited since.
                 ended = report.ended if report is not None else ()
-                if len(ended) > passed_on and self._pass_on(entry.worker, ended):
-                    passed_on = len(ended)
-                if not failures and not report.running and passed_on == len(ended):
+                latest = ended[-1].number if ended else 0
+                if latest > passed_on and self._pass_on(entry.worker, ended):
+                    passed_on = latest
+                if not failures and not report.running and passed_on >= latest:
                     return
                 self._clock.sleep(RETRY_S if failures > 1 else POLL_INTERVAL_S)
 
--- a/tests/test_late_ends.py
+++ b/tests/test_late_ends.py
@@ -20,3 +20,15 @@
     exit_worker(fleet)
     setattr(fleet.kv.faults, fault, False)
     check_nothing_ran_again(fleet)
+
+
+# Guards against ends that are not passed on because the worker lists no more of them than before:
+# an acknowledgement that was under way when the owner left makes it forget earlier ones.
+def test_new_ends_are_passed_on_although_the_list_is_not_longer():
+    fleet = fleet_with_ends_on_a_leaving_worker(jobs=2, in_s=(0.05, 0.2))
+    fleet.network.late_holds["i-0"] = 0.08
+    fleet.clock.advance(0.07)
+    fleet.network.late_holds.clear()
+    fleet.vms[fleet.owner].begin_stop()
+    exit_worker(fleet)
+    check_nothing_ran_again(fleet)
