Read the ends that were passed on again if the store refuses the read

Callers would see (TWICE): tasks started again after their listed ends `done`, in a takeover.

Cause: a new owner read the ends that an earlier one had passed on once. A refusal of that call (429, which the calls of all VMs share), directly and through another VM, discarded all of them.

Why it works: the read is repeated for a second, which is longer than the pause of the store's client after a refusal. Cost: a takeover waits that long, and one call more, if the store fails just then.

--- a/src/lacewingmill/jobs/director.py
+++ b/src/lacewingmill/jobs/director.py
@@ -278,7 +278,7 @@
 
     def _apply_late_ends(self) -> None:
         """Handle ends that earlier owners have heard of since they left."""
-        for late_ends in read_late_ends(self._deps.store, self._log):
+        for late_ends in read_late_ends(self._deps.store, self._clock, self._log):
             link = self.pool.find(late_ends.worker)
             for ended in late_ends.ended if link is not None else ():
                 self._accept_end(link, ended)
--- a/src/lacewingmill/jobs/late_ends.py
+++ b/src/lacewingmill/jobs/late_ends.py
@@ -19,6 +19,7 @@
     HoldOrder,
     HoldReport,
     Put,
+    Record,
     Transaction,
     TransactionStore,
     WorkerEntry,
@@ -34,10 +35,12 @@
 # A leaving worker may exit 0.1 s after its next end.
 POLL_INTERVAL_S = 0.05
 LONG_POLL_S = 0.5
-RETRY_S = 0.25  # after the first failure; the worker may have exited
+RETRY_S = 0.25  # after the first failure of a poll; the worker may have exited
 TIMEOUT_MARGIN_S = 0.3
 # The next owner reads the ends within seconds; their keys are deleted with this lease.
 KEPT_S = 60.0
+# A store that refuses a call is called directly again after half a second; urgent jobs wait.
+READ_S = 1.0
 
 
 class LateEndsListener:
@@ -106,13 +109,19 @@
         return True
 
 
-def read_late_ends(store: TransactionStore, log: EventLog) -> list[LateEnds]:
+def read_late_ends(store: TransactionStore, clock: Clock, log: EventLog) -> list[LateEnds]:
     """Return the ends that earlier owners have passed on; none if the store does not answer."""
-    try:
-        records, _ = store.scan(ENDS_PREFIX)
-    except StoreUnavailable as exc:
-        log.emit(LogEvent.JOBS_UNREAD, load="late_ends", reason=exc.message)
-        return []
+    records: tuple[Record, ...] = ()
+    until = clock.now() + READ_S
+    while True:
+        try:
+            records, _ = store.scan(ENDS_PREFIX)
+            break
+        except StoreUnavailable as exc:
+            log.emit(LogEvent.JOBS_UNREAD, load="late_ends", reason=exc.message)
+            if clock.now() >= until:
+                break
+            clock.sleep(RETRY_S)
     late_ends = []
     for record in records:
         try:
--- a/tests/test_late_ends.py
+++ b/tests/test_late_ends.py
@@ -32,3 +32,24 @@
     fleet.vms[fleet.owner].begin_stop()
     exit_worker(fleet)
     check_nothing_ran_again(fleet)
+
+
+# Guards against losing all ends that were passed on because one call to the store failed.
+@pytest.mark.parametrize("failures", [1, 2])
+def test_ends_are_read_although_a_read_of_them_fails(failures):
+    fleet = fleet_with_ends_on_a_leaving_worker(jobs=1, in_s=(0.1,))
+    left = failures
+    handle = fleet.kv.handle
+
+    def refuse_reads(client, method, target, body):
+        nonlocal left
+        if target.startswith("/kv-range") and "ends" in target and left:
+            left -= 1
+            return 429, {}
+        return handle(client, method, target, body)
+
+    fleet.kv.handle = refuse_reads
+    fleet.vms[fleet.owner].begin_stop()
+    exit_worker(fleet)
+    check_nothing_ran_again(fleet)
+    assert left == 0
