Acknowledge ends although storing them takes longer than a report stays fresh

Cause: an acknowledgement needs a report of the last 0.5 s, so an old one is followed by a poll without it. That poll lists new ends, the link waits up to 0.5 s for each write again, and the report is too old once more.

Evidence: test_ends_of_a_busy_worker_are_acknowledged_while_the_store_is_slow: before 0 of 28 and 0 of 9 acknowledged, both cases fail; after, more than half.

Why it works: the poll that goes ahead of a late acknowledgement waits for no writes, so the next one follows at once.

--- a/src/lacewingmill/jobs/worker_link.py
+++ b/src/lacewingmill/jobs/worker_link.py
@@ -310,7 +310,8 @@
         until = self._lease.extend() if heard and self._failures == 0 else 0.0
         sent_at = self._clock.now()
         acked = self._acks.to_send if self._failures == 0 else 0
-        if acked and self._may_have_restarted:
+        ack_delayed = bool(acked) and self._may_have_restarted
+        if ack_delayed:
             acked = 0
             self._poll_requested = True  # to acknowledge as soon as the worker has answered
         order = HoldOrder(self._owner_lease.fence, acked, until, wait_s)
@@ -333,7 +334,7 @@
             return
         if not self._stopped:
             self._acks.sent = max(self._acks.sent, acked)
-            self._apply_report(report, sent_at)
+            self._apply_report(report, sent_at, ack_delayed)
 
     @property
     def _may_have_restarted(self) -> bool:
@@ -367,7 +368,7 @@
             return STOP_POLL_S
         return min(MAX_LONG_POLL_S, self._limits.longest_hold_s / 3)
 
-    def _apply_report(self, report: HoldReport, sent_at: float) -> None:
+    def _apply_report(self, report: HoldReport, sent_at: float, ack_delayed: bool) -> None:
         self._failures = 0
         self.reported_at = self._clock.now()
         self._lease.set_worker_time(report.clock_s)
@@ -393,7 +394,8 @@
             self._clock.sleep(RETRY_S)
         if new_ends:
             self._acks.add(new_ends[-1].number, pending)
-        self._acks.ack_stored(LEAVING_STORE_WAIT_S if self.entry.leaving else STORE_WAIT_S)
+        if not ack_delayed:  # otherwise this report would be too old for the next poll as well
+            self._acks.ack_stored(LEAVING_STORE_WAIT_S if self.entry.leaving else STORE_WAIT_S)
 
     def _remove_missing(self, report: HoldReport, sent_at: float) -> None:
         """Remove members that have ended although the worker did not list their ends.
--- a/tests/test_acks_across_lives.py
+++ b/tests/test_acks_across_lives.py
@@ -64,3 +64,25 @@
     fleet.vms["vm0"].director.owner_lease.ended = True
     fleet.clock.advance(3.0)
     assert fleet.network.call_counts["/hold"] == polls
+
+
+# Guards against ends that are never acknowledged while the store is slow and ends keep coming: each
+# report is too old by the time that the effect of its ends is stored.
+@pytest.mark.parametrize("gap_s", [0.15, 0.5])
+def test_ends_of_a_busy_worker_are_acknowledged_while_the_store_is_slow(gap_s):
+    fleet = PlatformFleet(vms=1, executors=1)
+    wait_for_owner(fleet)
+    steps = [step(gpu=0, cpu=50, mem_mb=100)]
+    for number in range(1, 41):
+        run(fleet, fleet.submit, "vm0", "patient", job_id(number), steps, "run_s=99", seconds=0.01)
+    fleet.clock.advance(3.0)
+    assert len(fleet.run_history.runs) == 40
+    for number, entry in enumerate(fleet.run_history.runs):
+        entry.run_s = fleet.clock.now() - entry.work_started_at + 0.5 + gap_s * number
+    fleet.executors[0].slow_down(1.0)
+    fleet.kv.faults.slow_s = 0.6
+    fleet.clock.advance(5.0)
+    ended = sum(bool(entry.outcome) for entry in fleet.run_history.runs)
+    acknowledged = sum(bool(entry.acknowledged) for entry in fleet.run_history.runs)
+    assert 8 <= ended < 40
+    assert acknowledged > ended / 2
