One lease for the ends of all leaving workers

All VMs share the rate of the store.

Cause: each listener looked for the lease before it waited for the grant.

Why it works: the listeners wait for the one that asks for the lease, and look again.

--- a/src/lacewingmill/jobs/late_ends.py
+++ b/src/lacewingmill/jobs/late_ends.py
@@ -1,6 +1,7 @@
 """Passes the ends that workers list between two owners on to the next owner, through the store."""
 
 import gevent
+from gevent.lock import BoundedSemaphore
 
 from lacewingmill.codec import decode, encode
 from lacewingmill.events import EventLog, LogEvent
@@ -62,6 +63,7 @@
         self._log = log
         self._fence = fence
         self._lease = 0
+        self._granting = BoundedSemaphore()
 
     def listen(self, workers: list[WorkerEntry]) -> None:
         """Listen to workers in the background."""
@@ -96,8 +98,9 @@
     def _pass_on(self, worker: str, ended: tuple[EndedRun, ...]) -> bool:
         """Store all ends that a worker lists; return whether they are stored."""
         try:
-            if not self._lease:
-                self._lease = self._store.grant(KEPT_S).lease
+            with self._granting:  # workers that list ends together share the lease
+                if not self._lease:
+                    self._lease = self._store.grant(KEPT_S).lease
             put = Put(ends_key(self._fence, worker), encode(LateEnds(worker, ended)), self._lease)
             self._store.commit(Transaction(puts=(put,)))
         except LeaseEnded:
