A link waits a bounded time for all stored ends together, not for each of them

Cause: before it polls again, the link to a leaving worker waits for the listed ends to be stored, 50 ms for each. Ends of 120 jobs take eight commits one after the other; each came within its 50 ms, all together took 160 ms. The worker exited 0.1 s after its next end, unheard, and the run was given up (cause=exited).

Evidence: test_a_leaving_worker_is_polled_soon_though_many_of_its_ends_wait_for_the_store, 120 ends and one 20 ms later: with 20 and 40 ms it fails before (run_given_up cause=exited), with 0 ms it passes; after, all three pass.

Why it works: the 50 ms, and the 0.5 s of other workers, are for all ends together, as the comments said.

--- a/src/lacewingmill/jobs/end_acks.py
+++ b/src/lacewingmill/jobs/end_acks.py
@@ -70,11 +70,18 @@
     def ack_stored(self, wait_s: float) -> None:
         """Advance ``acked`` over all ends whose effect is stored.
 
-        :param wait_s: how long to wait for each write in progress, in seconds.
+        :param wait_s: how long to wait for all writes in progress, in seconds.
         """
+        until = self._clock.now() + wait_s
         while self._unstored:
             oldest = self._unstored[0]
-            if not all(self._clock.wait(event, wait_s) for event in oldest.writes):
+            if not all(self._is_stored(event, until) for event in oldest.writes):
                 return
             self.acked = max(self.acked, oldest.number)
             self._unstored.popleft()
+
+    def _is_stored(self, written: Event, until: float) -> bool:
+        if written.is_set():
+            return True
+        remaining_s = until - self._clock.now()
+        return remaining_s > 0 and self._clock.wait(written, remaining_s)
