The clock's waits end by their timeout also on events that are set

Callers saw: nothing of this alone.

Cause: gevent's Event.wait on an event that is set may get no timer while the event's waiters are being notified, and no notification either. A link waits for the events of stored ends one after the other, many of them set.

Change: the clock does not wait for a set event.

--- a/src/lacewingmill/adapters/clock.py
+++ b/src/lacewingmill/adapters/clock.py
@@ -32,4 +32,5 @@
         :param seconds: timeout, in seconds.
         :return: whether the event is set.
         """
-        return event.wait(seconds)
+        # A wait that begins on a set event may get no timer while the waiters are being notified.
+        return event.is_set() or event.wait(seconds)
