--- a/bench/platform_demo.py
+++ b/bench/platform_demo.py
@@ -65,9 +65,9 @@
         return self._history
 
     def start(self) -> None:
-        """Start the VMs and wait until one of them has become the owner of the jobs.
+        """Start the VMs and wait until all are ready and one has become the owner of the jobs.
 
-        :raises gevent.Timeout: when none has after ``START_TIMEOUT_S``.
+        :raises gevent.Timeout: when that is not so after ``START_TIMEOUT_S``.
         """
         for number in range(VM_COUNT):
             path = self.settings_path(number)
@@ -75,9 +75,15 @@
             with self.log_path(number).open("wb") as log:
                 self._vms.append(subprocess.Popen(command, stdout=log))
         with gevent.Timeout(START_TIMEOUT_S):
-            while not self._store.keys("lacewingmill/workers"):
+            while not (self._store.keys("lacewingmill/workers") and self._all_ready()):
                 gevent.sleep(POLL_INTERVAL_S)
 
+    def _all_ready(self) -> bool:
+        try:
+            return all(self.ready_status(vm) == 200 for vm in range(VM_COUNT))
+        except TransportError:
+            return False
+
     def adopt_vms(self, vms: list[subprocess.Popen]) -> None:
         """Take over the processes of VMs that were started elsewhere."""
         self._vms = vms
